--- /dev/null
+++ b/larchlatch/__init__.py
@@ -0,0 +1,1 @@
+"""larchlatch: a balancer for long-lived connections."""
--- /dev/null
+++ b/larchlatch/brain.py
@@ -0,0 +1,402 @@
+"""Every decision of a larchlatch node, and nothing else.
+
+How to call it: build one Brain for each node from its Terms and a seeded random.Random, then ask
+
+    place(now, link)            where to send this link: a host, or not yet, or never (shed, given up)
+    outcome(now, link, what)    what to do after this outcome of its setup try: the same answers, or nothing
+    wait(now)                   how long to wait, and what is due now: probes, a request for the list, moves
+
+What the node observes goes in by hosts_listed, list_failed, report, load_note, delay_note, standing and
+left, which return nothing. The types of all of these are in larchlatch/links.py. Times are whole
+microseconds of the clock that the caller hands in; nothing here reads a clock or shares state with another
+node. docs/design.md says where each choice comes from.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections import deque
+from collections.abc import Iterable
+from random import Random
+
+from xxhash import xxh3_64_intdigest
+
+from larchlatch.links import (
+    DONE,
+    GIVEN_UP,
+    NEVER_RAN,
+    NOT_YET,
+    SHED,
+    Answer,
+    Due,
+    Group,
+    Link,
+    Listed,
+    Outcome,
+    Repeat,
+    State,
+    Terms,
+)
+
+SECOND = 1_000_000  # microseconds
+
+TOKENS = 64  # ring points for a host of size 1: arcs then differ by about an eighth
+MOST_TOKENS = 1024  # ring points, whatever the size: keeps a rebuild under a few milliseconds
+FEW = 3  # outcomes by which a host is judged: two failures in a row tell, one does not
+TRIAL_US = 1 * SECOND  # first pause before an unfit host is tried again: a blip is over by then
+LONGEST_TRIAL_US = 8 * SECOND  # the pause doubles up to this: a returned host is found within it
+FULL_US = 200_000  # a host that turned a link away is passed over this long: a queue moves on in that time
+HOLD_US = 50_000  # a link that no host may have now is looked at again after this
+BACK_US = 200_000  # the least wait advised to a shed client: longer than one round of further tries
+SLOW_US = 2 * SECOND  # a delay note counts this long: notes come once a second while it lasts
+NEAR = 0.5  # share of the strictest wanted message time above which a host counts as slow
+TIE = 2.0  # links by which the second must be lighter than the master to be chosen
+HOT = 2.0  # times the mean load above which both candidates count as crowded
+HOT_LINKS = 4.0  # and at least so many links above it: small counts differ by that much by chance
+PROBE_US = 3 * SECOND  # between two probes of a host for its load
+STALE_US = 10 * SECOND  # a probed load older than this is forgotten
+X0_WEIGHT = 2.0  # probed load counts so much against own links: it sees every node's
+NOTED = 0.1  # weight of a new load note in the running mean of a link's load
+ASK_US = SECOND // 2  # first pause after a failed list request; doubles
+LOST_US = 10 * SECOND  # a list request without an answer for so long is taken for lost
+
+
+class Host:
+    """All that this node knows of one host."""
+
+    __slots__ = (
+        "asked_at", "came_up", "cell", "failing", "full_until", "name", "number", "open", "probed_at",
+        "recent", "size", "slow_until", "spent", "state", "trial_at", "trial_gap", "turn", "x0", "x0_at",
+        "zone",
+    )  # fmt: skip
+
+    def __init__(self, line: Listed) -> None:
+        self.number = line.host
+        self.name = line.name
+        self.open: dict[int, Link] = {}  # own links that stand there or are being set up
+        self.recent: deque[bool] = deque(maxlen=FEW)
+        self.failing = False
+        self.trial_at = 0
+        self.trial_gap = TRIAL_US
+        self.full_until = 0
+        self.slow_until = 0
+        self.x0 = 0.0
+        self.x0_at = -STALE_US
+        self.probed_at = -STALE_US
+        self.turn = -1  # the turn at a fresh host in which `spent` was spent
+        self.spent = 0.0
+        self.came_up = 0
+        self.follow(line)
+
+    def follow(self, line: Listed) -> None:
+        """Take over what the list says."""
+        if line.came_up > self.came_up and line.state is State.READY:
+            self.recent.clear()  # a new start: what the old process did says nothing of it
+            self.failing = False
+            self.full_until = self.slow_until = 0
+        self.zone, self.cell, self.state = line.zone, line.cell, line.state
+        self.size, self.came_up = line.size, line.came_up
+
+
+class Brain:
+    def __init__(self, terms: Terms, chance: Random) -> None:
+        self.terms = terms
+        self.uniform = chance.uniform
+        self.hosts: dict[int, Host] = {}
+        self.ring: list[tuple[int, int]] = []
+        self.noted = 0.0  # running mean of noted loads
+        self.listening = False  # a list subscription stands
+        self.asking = False  # a list request is out
+        self.ask_at = 0
+        self.ask_gap = ASK_US
+        self.strictest = min((t.message_us for t in terms.tariffs if t.message_us), default=0)
+
+    # Where to send this link.
+
+    def place(self, now: int, link: Link) -> Answer:
+        """The host for a link; or not yet; or its final answer."""
+        if link.out or link.open:
+            return Answer(DONE)
+        # A link held too long would miss its final answer: it gets it while there is still time.
+        if now + HOLD_US >= link.cut_off or link.tries >= self.terms.most_tries:
+            return self.final(now, link)
+        walk = [host for host in self.walk(link) if self.may_repeat(now, link, host)]
+        if not walk and link.ran_at >= 0:
+            return self.final(now, link)
+        open_to = [host for host in walk if self.in_budget(now, host, link)]
+        host = self.choose(now, link, walk[:2], open_to)
+        if host is None:
+            return Answer(NOT_YET, min(link.cut_off - HOLD_US, now + int(self.uniform(HOLD_US, 2 * HOLD_US))))
+        self.sent(now, link, host)
+        spare = 0
+        if link.tries < self.terms.most_tries:
+            spare = min(self.terms.tariffs[link.tariff].expected_us, (link.cut_off - now) // 3)
+        return Answer(host.number, link.cut_off - spare)
+
+    def choose(self, now: int, link: Link, pair: list[Host], open_to: list[Host]) -> Host | None:
+        """The less loaded of the key's master and second candidate; past them only where both are unfit."""
+        if link.mid_flow and link.tries == 0 and pair:
+            return pair[0] if pair[0] in open_to else next((h for h in pair[1:] if h in open_to), None)
+        if link.host >= 0 and link.tries and len(open_to) > 1:
+            open_to = [host for host in open_to if host.number != link.host]
+        mean = self.mean_load(now)
+        fit = [host for host in open_to if self.fit(now, host)]
+        # A slowdown that hits every host is no reason to drive all links onto the few not yet blamed.
+        if 2 * len(fit) <= len(open_to):
+            fit = [host for host in open_to if now >= host.full_until]
+        best = [host for host in pair if host in fit and not self.crowded(now, host, mean)]
+        if len(best) == 2:
+            master, second = (self.gauge(now, host, mean) for host in best)
+            return best[1] if second + TIE < master else best[0]
+        if best:
+            return best[0]
+        # Both candidates are out of the question: on along the ring to the next host that is not.
+        for host in fit:
+            if not self.crowded(now, host, mean):
+                return host
+        return min(fit, key=lambda host: self.gauge(now, host, mean), default=None)
+
+    def walk(self, link: Link) -> list[Host]:
+        """The distinct ready hosts clockwise from the link's key."""
+        key = link.group if self.terms.grouped and link.group else link.key
+        spot = xxh3_64_intdigest(key.to_bytes(8, "big")) if key else int(self.uniform(0, 2**64))
+        start = bisect_right(self.ring, (spot, -1))
+        seen: dict[int, Host] = {}
+        for _, number in self.ring[start:] + self.ring[:start]:
+            if number not in seen:
+                seen[number] = self.hosts[number]
+        return [host for host in seen.values() if host.state is State.READY]
+
+    def may_repeat(self, now: int, link: Link, host: Host) -> bool:
+        """Whether one more try of this link at this host cannot make its effect happen twice."""
+        tariff = self.terms.tariffs[link.tariff]
+        if link.ran_at < 0 or tariff.repeat is Repeat.RERUNNABLE:
+            return True
+        # An earlier try may have run: a second run elsewhere, or after the group forgets, would count twice.
+        if tariff.repeat is Repeat.EXCLUSIVE or now >= link.ran_at + tariff.memory_us:
+            return False
+        first = self.hosts[link.ran_host]
+        if tariff.group is Group.ZONE:
+            return host.zone == first.zone
+        if tariff.group is Group.CELL:
+            return host.cell == first.cell
+        return True
+
+    def final(self, now: int, link: Link) -> Answer:
+        """The one final answer of a link that will not be delivered."""
+        tariff = self.terms.tariffs[link.tariff]
+        # Shed says that a retry is harmless: never of a link whose second run would count twice.
+        told_safe = (
+            link.ran_at < 0
+            or tariff.repeat is Repeat.RERUNNABLE
+            or (
+                tariff.repeat is Repeat.TICKETED
+                and tariff.group is Group.ALL
+                and now < link.ran_at + tariff.memory_us
+            )
+        )
+        if not told_safe:
+            return Answer(GIVEN_UP)
+        advice = min(self.terms.longest_return_us, int(self.uniform(BACK_US, 2 * BACK_US)))
+        return Answer(SHED, advice)
+
+    # What a host can take.
+
+    def warmth(self, now: int, host: Host) -> float:
+        """The share of its work that a host can do at least, by the time since it started."""
+        terms = self.terms
+        if not host.came_up or now >= host.came_up + terms.cold_us:
+            return 1.0
+        age = max(0, now - host.came_up) / terms.cold_us
+        return terms.cold_from + (1 - terms.cold_from) * age
+
+    def in_budget(self, now: int, host: Host, link: Link) -> bool:
+        """Whether a host that may still be cold can take one more link from this node now."""
+        warmth = self.warmth(now, host)
+        if warmth >= 1.0:
+            return True
+        # A crowd at a cold host tips it over for good, and no node sees what the others send: so the nodes
+        # take turns at it by their own number, one window each, and each keeps the whole budget of its turn.
+        turn = (now - host.came_up) // self.terms.tip_after_us
+        if turn % self.terms.nodes != self.terms.me:
+            return False
+        return (host.spent if host.turn == turn else 0.0) < max(1.0, self.turn_budget(now, host, warmth))
+
+    def turn_budget(self, now: int, host: Host, warmth: float) -> float:
+        """Links for one turn: half the stated multiple of what fills a host to the warm ones' level."""
+        terms = self.terms
+        warm = [h for h in self.hosts.values() if h.state is State.READY and self.warmth(now, h) >= 1.0]
+        size = sum(h.size for h in warm)
+        if not size:
+            return 0.0
+        borne = terms.nodes * sum(len(h.open) for h in warm) / size * host.size
+        return 0.5 * terms.tip_multiple * warmth * borne * terms.tip_after_us / terms.cold_us
+
+    def weight(self, link: Link) -> float:
+        """A link's load in usual links."""
+        return link.load / self.noted if link.load and self.noted else 1.0
+
+    def own(self, now: int, host: Host) -> float:
+        """Own open links per unit of size."""
+        return sum(map(self.weight, host.open.values())) / (host.size * self.warmth(now, host))
+
+    def mean_load(self, now: int) -> float:
+        """Own open links per unit of size over all ready hosts that have some."""
+        used = [h for h in self.hosts.values() if h.state is State.READY and h.open]
+        size = sum(h.size for h in used)
+        return sum(self.weight(link) for h in used for link in h.open.values()) / size if size else 0.0
+
+    def gauge(self, now: int, host: Host, mean: float) -> float:
+        """A host's load in own links per unit of size; probed load, where known, is put in the same unit."""
+        own = self.own(now, host) if host.open else mean
+        fresh = [h.x0 for h in self.hosts.values() if h.state is State.READY and now < h.x0_at + STALE_US]
+        total = sum(fresh)
+        if now >= host.x0_at + STALE_US or not total:
+            return own
+        return own + X0_WEIGHT * mean * host.x0 * len(fresh) / total
+
+    def crowded(self, now: int, host: Host, mean: float) -> bool:
+        """Whether a host bears far more of this node's links than the others: a hot key, or bad luck."""
+        own = self.own(now, host)
+        return own > HOT * mean and own - mean > HOT_LINKS
+
+    def fit(self, now: int, host: Host) -> bool:
+        if now < host.full_until or now < host.slow_until:
+            return False
+        return not host.failing or now >= host.trial_at
+
+    def sent(self, now: int, link: Link, host: Host) -> None:
+        turn = (now - host.came_up) // self.terms.tip_after_us
+        host.spent = self.weight(link) + (host.spent if host.turn == turn else 0.0)
+        host.turn = turn
+        if host.failing:  # one link tries it; a crowd after it would all wait for a host that may be silent
+            host.trial_at = now + host.trial_gap
+            host.trial_gap = min(LONGEST_TRIAL_US, 2 * host.trial_gap)
+        host.open[link.number] = link
+        link.host, link.out, link.sent_at = host.number, True, now
+        link.tries += 1
+
+    # What to do after this outcome.
+
+    def outcome(self, now: int, link: Link, what: Outcome, done: bool = False) -> Answer:
+        """After an outcome of the link's setup try; done: the client has its final answer already."""
+        host = self.hosts[link.host]
+        if what is Outcome.STANDS:
+            link.open, link.out = True, False
+            self.judge(now, host, True)
+            return Answer(DONE)
+        # Refused, failed or dropped: no longer counted, or the host would look busier than it is.
+        host.open.pop(link.number, None)
+        if what is Outcome.REFUSED:
+            host.full_until = now + FULL_US
+        elif not link.open and what is not Outcome.UNSENT and what is not Outcome.CANCELLED:
+            self.judge(now, host, what is Outcome.ENDED)
+        if what not in NEVER_RAN and link.ran_at < 0:
+            link.ran_at, link.ran_host = link.sent_at, host.number
+        link.out = link.open = False
+        return Answer(DONE) if done else self.place(now, link)
+
+    def judge(self, now: int, host: Host, good: bool) -> None:
+        """A host is judged by the successes among its last few outcomes."""
+        host.recent.append(good)
+        failing = 2 * sum(host.recent) < len(host.recent)
+        if good:
+            # A returned host has failures behind it that say nothing of it now.
+            if host.failing:
+                host.recent.clear()
+                failing = False
+            host.trial_gap = TRIAL_US
+        elif failing and not host.failing:
+            host.trial_at = now + host.trial_gap
+        host.failing = failing
+
+    # What the node observes.
+
+    def hosts_listed(self, now: int, lines: Iterable[Listed], whole: bool, asked: bool) -> None:
+        """A list, or the changes to it."""
+        lines = list(lines)
+        for line in lines:
+            if line.host in self.hosts:
+                self.hosts[line.host].follow(line)
+            else:
+                self.hosts[line.host] = Host(line)
+        if whole:
+            named = {line.host for line in lines}
+            for host in self.hosts.values():
+                if host.number not in named:
+                    host.state = State.GONE
+        if asked and self.terms.asked_list:
+            self.listening, self.asking, self.ask_gap = True, False, ASK_US
+        self.ring = sorted(
+            (xxh3_64_intdigest(f"{host.name}#{token}".encode()), host.number)
+            for host in self.hosts.values()
+            if host.state is not State.GONE
+            for token in range(self.tokens(host))
+        )
+
+    def tokens(self, host: Host) -> int:
+        """Ring points of a host; its own line alone sets them, so that a change remaps locally."""
+        return min(MOST_TOKENS, max(1, round(TOKENS * host.size))) if self.terms.sized else TOKENS
+
+    def list_failed(self, now: int) -> None:
+        """A list request failed, or the subscription was lost."""
+        # Without a subscription a drain is never heard of, yet held to be known: ask on, ever more slowly.
+        self.listening = self.asking = False
+        self.ask_at = now + int(self.uniform(0.5, 1.0) * self.ask_gap)
+        self.ask_gap = min(self.terms.ask_within_us // 4, 2 * self.ask_gap)
+
+    def report(self, now: int, number: int, answered: bool, x0: float | None) -> None:
+        """A probe's result."""
+        host = self.hosts[number]
+        if not answered or host.failing:
+            self.judge(now, host, answered)
+        if x0 is not None:
+            host.x0, host.x0_at = x0, now
+
+    def load_note(self, now: int, link: Link, load: float) -> None:
+        """A link's load as it is now, in microseconds of work a second."""
+        link.load = load
+        self.noted += (load - self.noted) * (NOTED if self.noted else 1.0)
+
+    def delay_note(self, now: int, link: Link, delay_us: int) -> None:
+        """What a message takes on this link's host now."""
+        late = self.strictest and delay_us > NEAR * self.strictest
+        self.hosts[link.host].slow_until = now + SLOW_US if late else 0
+
+    def standing(self, now: int, link: Link, number: int) -> None:
+        """A link that stood on a host before this node started."""
+        link.host, link.open = number, True
+        self.hosts[number].open[link.number] = link
+
+    def left(self, now: int, link: Link) -> None:
+        """The client is gone, or its link is no longer this node's."""
+        if link.host >= 0:
+            self.hosts[link.host].open.pop(link.number, None)
+
+    # How long to wait.
+
+    def wait(self, now: int) -> Due:
+        """What falls due now, and how long until the next does."""
+        wait = SECOND
+        probes = []
+        if self.terms.probes:
+            for host in self.hosts.values():
+                if host.state is not State.READY:
+                    continue
+                gap = PROBE_US if self.terms.probe_tells_load else LONGEST_TRIAL_US
+                if not self.terms.probe_tells_load and not host.failing:
+                    continue
+                if now >= host.probed_at + gap:
+                    host.probed_at = now
+                    probes.append(host.number)
+                wait = min(wait, host.probed_at + gap - now)
+        ask = False
+        if self.terms.asked_list and not self.listening:
+            if self.asking and now >= self.ask_at + LOST_US:
+                self.asking = False
+            if not self.asking and now >= self.ask_at:
+                ask = self.asking = True
+                self.ask_at = now
+            elif not self.asking:
+                wait = min(wait, self.ask_at - now)
+        return Due(wait, probes, ask, [])
--- /dev/null
+++ b/larchlatch/wirehost/__main__.py
@@ -0,0 +1,3 @@
+from larchlatch.wirehost.loop import main
+
+main()
