--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -17,6 +17,7 @@
 from bisect import bisect_right
 from collections import deque
 from collections.abc import Iterable
+from itertools import chain, islice
 from random import Random
 
 from xxhash import xxh3_64_intdigest
@@ -48,7 +49,10 @@
 FULL_US = 200_000  # a host that turned a link away is passed over this long: a queue moves on in that time
 HOLD_US = 50_000  # a link that no host may have now is looked at again after this
 BACK_US = 200_000  # the least wait advised to a shed client: longer than one round of further tries
-SLOW_US = 2 * SECOND  # a delay note counts this long: notes come once a second while it lasts
+SLOW_US = 2 * SECOND  # a delay note or a dropped link counts this long: notes come once a second
+STRAIN = 1.5  # what each such second multiplies a host's load by: two make it count double
+MOST_STRAIN = 8.0  # and the most: a host never counts for less than an eighth of its size
+STRAIN_US = 20 * SECOND  # until that is forgotten: some link lives later, for its load has changed by then
 NEAR = 0.5  # share of the strictest wanted message time above which a host counts as slow
 TIE = 2.0  # links by which the second must be lighter than the master to be chosen
 HOT = 2.0  # times the mean load above which both candidates count as crowded
@@ -65,15 +69,20 @@
     """All that this node knows of one host."""
 
     __slots__ = (
-        "asked_at", "came_up", "cell", "failing", "full_until", "name", "number", "open", "probed_at",
-        "recent", "size", "slow_until", "spent", "state", "trial_at", "trial_gap", "turn", "x0", "x0_at",
-        "zone",
+        "came_up", "cell", "failing", "full_until", "known_load", "name", "number", "open", "probed_at",
+        "recent", "size", "slow_until", "spent", "state", "strain", "strain_at", "trial_at", "trial_gap",
+        "turn", "unknown", "unreached", "x0", "x0_at", "zone",
     )  # fmt: skip
 
     def __init__(self, line: Listed) -> None:
         self.number = line.host
         self.name = line.name
         self.open: dict[int, Link] = {}  # own links that stand there or are being set up
+        self.known_load = 0.0  # sum of those links' loads where known, and the count of the others
+        self.unknown = 0
+        self.strain = 1.0  # above 1: it was short of capacity lately, at so much less than its size says
+        self.strain_at = 0
+        self.unreached = False  # the last outcome was no connection at all
         self.recent: deque[bool] = deque(maxlen=FEW)
         self.failing = False
         self.trial_at = 0
@@ -88,6 +97,17 @@
         self.came_up = 0
         self.follow(line)
 
+    def add(self, link: Link) -> None:
+        if link.number not in self.open:
+            self.open[link.number] = link
+            self.known_load += link.load
+            self.unknown += not link.load
+
+    def remove(self, link: Link) -> None:
+        if self.open.pop(link.number, None) is not None:
+            self.known_load -= link.load
+            self.unknown -= not link.load
+
     def follow(self, line: Listed) -> None:
         """Take over what the list says."""
         if line.came_up > self.came_up and line.state is State.READY:
@@ -103,7 +123,8 @@
         self.terms = terms
         self.uniform = chance.uniform
         self.hosts: dict[int, Host] = {}
-        self.ring: list[tuple[int, int]] = []
+        self.spots: list[int] = []  # the ring: points in order, and the host of each
+        self.owners: list[Host] = []
         self.noted = 0.0  # running mean of noted loads
         self.listening = False  # a list subscription stands
         self.asking = False  # a list request is out
@@ -139,11 +160,12 @@
             return pair[0] if pair[0] in open_to else next((h for h in pair[1:] if h in open_to), None)
         if link.host >= 0 and link.tries and len(open_to) > 1:
             open_to = [host for host in open_to if host.number != link.host]
-        mean = self.mean_load(now)
+        mean = self.mean_load()
         fit = [host for host in open_to if self.fit(now, host)]
-        # A slowdown that hits every host is no reason to drive all links onto the few not yet blamed.
+        # A slowdown that hits every host is no reason to drive all links onto the few not yet blamed; but
+        # hosts that cannot be reached at all, as behind a cut, are no slower for their number.
         if 2 * len(fit) <= len(open_to):
-            fit = [host for host in open_to if now >= host.full_until]
+            fit = [host for host in open_to if host in fit or not (host.unreached and host.failing)]
         best = [host for host in pair if host in fit and not self.crowded(now, host, mean)]
         if len(best) == 2:
             master, second = (self.gauge(now, host, mean) for host in best)
@@ -160,12 +182,9 @@
         """The distinct ready hosts clockwise from the link's key."""
         key = link.group if self.terms.grouped and link.group else link.key
         spot = xxh3_64_intdigest(key.to_bytes(8, "big")) if key else int(self.uniform(0, 2**64))
-        start = bisect_right(self.ring, (spot, -1))
-        seen: dict[int, Host] = {}
-        for _, number in self.ring[start:] + self.ring[:start]:
-            if number not in seen:
-                seen[number] = self.hosts[number]
-        return [host for host in seen.values() if host.state is State.READY]
+        start = bisect_right(self.spots, spot)
+        seen = dict.fromkeys(chain(islice(self.owners, start, None), islice(self.owners, start)))
+        return [host for host in seen if host.state is State.READY]
 
     def may_repeat(self, now: int, link: Link, host: Host) -> bool:
         """Whether one more try of this link at this host cannot make its effect happen twice."""
@@ -236,24 +255,42 @@
         """A link's load in usual links."""
         return link.load / self.noted if link.load and self.noted else 1.0
 
+    def links_at(self, host: Host) -> float:
+        """Own open links, in usual links."""
+        return (host.known_load / self.noted if self.noted else 0.0) + host.unknown
+
     def own(self, now: int, host: Host) -> float:
-        """Own open links per unit of size."""
-        return sum(map(self.weight, host.open.values())) / (host.size * self.warmth(now, host))
+        """Own open links per unit of the size that the host has shown to have."""
+        return self.links_at(host) * self.strained(now, host) / (host.size * self.warmth(now, host))
 
-    def mean_load(self, now: int) -> float:
+    def mean_load(self) -> float:
         """Own open links per unit of size over all ready hosts that have some."""
         used = [h for h in self.hosts.values() if h.state is State.READY and h.open]
         size = sum(h.size for h in used)
-        return sum(self.weight(link) for h in used for link in h.open.values()) / size if size else 0.0
+        return sum(map(self.links_at, used)) / size if size else 0.0
+
+    def strained(self, now: int, host: Host) -> float:
+        """How much less than its size a host could do of late; forgotten evenly over STRAIN_US."""
+        left = 1 - (now - host.strain_at) / STRAIN_US
+        return 1 + (host.strain - 1) * left if left > 0 else 1.0
+
+    def overdriven(self, now: int, host: Host) -> None:
+        """A host has shown that it bears more than it can."""
+        # Sizes are registered, not measured, and other nodes' links are not seen: a host that drops links
+        # would get the same clients back at once, and drop them again, for as long as the gauge calls it idle.
+        host.slow_until = now + SLOW_US
+        if now >= host.strain_at + SLOW_US // 2:
+            host.strain = min(MOST_STRAIN, self.strained(now, host) * STRAIN)
+            host.strain_at = now
 
     def gauge(self, now: int, host: Host, mean: float) -> float:
         """A host's load in own links per unit of size; probed load, where known, is put in the same unit."""
-        own = self.own(now, host) if host.open else mean
+        own = self.own(now, host) if host.open else mean * self.strained(now, host)
+        if now >= host.x0_at + STALE_US:
+            return own
         fresh = [h.x0 for h in self.hosts.values() if h.state is State.READY and now < h.x0_at + STALE_US]
         total = sum(fresh)
-        if now >= host.x0_at + STALE_US or not total:
-            return own
-        return own + X0_WEIGHT * mean * host.x0 * len(fresh) / total
+        return own + X0_WEIGHT * mean * host.x0 * len(fresh) / total if total else own
 
     def crowded(self, now: int, host: Host, mean: float) -> bool:
         """Whether a host bears far more of this node's links than the others: a hot key, or bad luck."""
@@ -272,7 +309,7 @@
         if host.failing:  # one link tries it; a crowd after it would all wait for a host that may be silent
             host.trial_at = now + host.trial_gap
             host.trial_gap = min(LONGEST_TRIAL_US, 2 * host.trial_gap)
-        host.open[link.number] = link
+        host.add(link)
         link.host, link.out, link.sent_at = host.number, True, now
         link.tries += 1
 
@@ -286,11 +323,14 @@
             self.judge(now, host, True)
             return Answer(DONE)
         # Refused, failed or dropped: no longer counted, or the host would look busier than it is.
-        host.open.pop(link.number, None)
+        host.remove(link)
+        if what is Outcome.CUT:
+            self.overdriven(now, host)
         if what is Outcome.REFUSED:
             host.full_until = now + FULL_US
         elif not link.open and what is not Outcome.UNSENT and what is not Outcome.CANCELLED:
             self.judge(now, host, what is Outcome.ENDED)
+            host.unreached = what is Outcome.UNREACHED
         if what not in NEVER_RAN and link.ran_at < 0:
             link.ran_at, link.ran_host = link.sent_at, host.number
         link.out = link.open = False
@@ -299,6 +339,7 @@
     def judge(self, now: int, host: Host, good: bool) -> None:
         """A host is judged by the successes among its last few outcomes."""
         host.recent.append(good)
+        host.unreached = False
         failing = 2 * sum(host.recent) < len(host.recent)
         if good:
             # A returned host has failures behind it that say nothing of it now.
@@ -327,12 +368,14 @@
                     host.state = State.GONE
         if asked and self.terms.asked_list:
             self.listening, self.asking, self.ask_gap = True, False, ASK_US
-        self.ring = sorted(
+        ring = sorted(
             (xxh3_64_intdigest(f"{host.name}#{token}".encode()), host.number)
             for host in self.hosts.values()
             if host.state is not State.GONE
             for token in range(self.tokens(host))
         )
+        self.spots = [spot for spot, _ in ring]
+        self.owners = [self.hosts[number] for _, number in ring]
 
     def tokens(self, host: Host) -> int:
         """Ring points of a host; its own line alone sets them, so that a change remaps locally."""
@@ -355,23 +398,30 @@
 
     def load_note(self, now: int, link: Link, load: float) -> None:
         """A link's load as it is now, in microseconds of work a second."""
-        link.load = load
+        host = self.hosts[link.host] if link.host >= 0 else None
+        if host and link.number in host.open:
+            host.remove(link)
+            link.load = load
+            host.add(link)
         self.noted += (load - self.noted) * (NOTED if self.noted else 1.0)
 
     def delay_note(self, now: int, link: Link, delay_us: int) -> None:
         """What a message takes on this link's host now."""
-        late = self.strictest and delay_us > NEAR * self.strictest
-        self.hosts[link.host].slow_until = now + SLOW_US if late else 0
+        host = self.hosts[link.host]
+        if self.strictest and delay_us > NEAR * self.strictest:
+            self.overdriven(now, host)
+        else:
+            host.slow_until = 0
 
     def standing(self, now: int, link: Link, number: int) -> None:
         """A link that stood on a host before this node started."""
         link.host, link.open = number, True
-        self.hosts[number].open[link.number] = link
+        self.hosts[number].add(link)
 
     def left(self, now: int, link: Link) -> None:
         """The client is gone, or its link is no longer this node's."""
         if link.host >= 0:
-            self.hosts[link.host].open.pop(link.number, None)
+            self.hosts[link.host].remove(link)
 
     # How long to wait.
 
