--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -54,6 +54,8 @@
 MOST_STRAIN = 8.0  # and the most: a host never counts for less than an eighth of its size
 STRAIN_US = 20 * SECOND  # until that is forgotten: some link lives later, for its load has changed by then
 NEAR = 0.5  # share of the strictest wanted message time above which a host counts as slow
+MOVE_US = SECOND  # between two rounds of moves off a slow host: the next note tells what the last ones did
+MOVE_SHARE = 0.2  # of a slow host's own links in one round: a host just over the edge comes back in one
 TIE = 2.0  # links by which the second must be lighter than the master to be chosen
 HOT = 2.0  # times the mean load above which both candidates count as crowded
 HOT_LINKS = 4.0  # and at least so many links above it: small counts differ by that much by chance
@@ -80,6 +82,7 @@
         self.rest = 0  # above 0: on probation, a new link only once in so long
         self.rest_until = 0
         self.slow_until = 0
+        self.move_at = 0
         self.x0 = 0.0
         self.x0_at = -STALE_US
         self.probed_at = -STALE_US
@@ -168,11 +171,14 @@
                 return host
         return min(fit, key=lambda host: self.gauge(now, host, mean), default=None)
 
+    def spot(self, link: Link) -> int:
+        """Where on the ring a link's group, else its key, lies; anywhere where it has neither."""
+        key = link.group if self.terms.grouped and link.group else link.key
+        return xxh3_64_intdigest(key.to_bytes(8, "big")) if key else int(self.uniform(0, 2**64))
+
     def walk(self, link: Link) -> list[Host]:
         """The distinct ready hosts clockwise from the link's key."""
-        key = link.group if self.terms.grouped and link.group else link.key
-        spot = xxh3_64_intdigest(key.to_bytes(8, "big")) if key else int(self.uniform(0, 2**64))
-        start = bisect_right(self.spots, spot)
+        start = bisect_right(self.spots, self.spot(link))
         walk = self.walks.get(start)
         if walk is None:
             walk = list(dict.fromkeys(chain(islice(self.owners, start, None), islice(self.owners, start))))
@@ -444,4 +450,33 @@
                 self.ask_at = now
             elif not self.asking:
                 wait = min(wait, self.ask_at - now)
-        return Due(wait, probes, ask, [])
+        return Due(wait, probes, ask, self.moves(now))
+
+    def moves(self, now: int) -> list[int]:
+        """Links to be moved off hosts whose messages have grown slow."""
+        ready = [host for host in self.hosts.values() if host.state is State.READY]
+        slow = [host for host in ready if now < host.slow_until]
+        # A slowdown of everything is not cured by moving: links would only be cut for nothing.
+        if not slow or 2 * len(slow) > len(ready):
+            return []
+        moved: list[Link] = []
+        for host in slow:
+            if now < host.move_at:
+                continue
+            host.move_at = now + MOVE_US
+            # Whole groups go, and on every node the same ones first: a group left in part on a host still
+            # costs that host the group's own work.
+            groups: dict[int, list[Link]] = {}
+            for link in host.open.values():
+                if link.open:
+                    groups.setdefault(self.spot(link), []).append(link)
+            room = max(1, round(MOVE_SHARE * len(host.open)))
+            for _, members in sorted(groups.items()):
+                if room <= 0:
+                    break
+                if any(self.fit(now, other) for other in self.walk(members[0])[:2]):
+                    moved += members[:room]
+                    room -= len(members)
+        for link in moved:
+            self.hosts[link.host].remove(link)
+        return [link.number for link in moved]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -141,3 +141,18 @@
             asked += 1
             ground.brain.list_failed(ground.now)
     assert 10 <= asked <= 40
+
+
+def test_links_are_moved_off_a_slow_host_but_not_when_all_are_slow() -> None:
+    """A host with late messages earns nothing; a slowdown of everything must not set all links moving."""
+    ground = Ground()
+    links = [ground.arrive(key=key) for key in range(1, 40)]
+    for link in links:
+        ground.end(link, Outcome.STANDS)
+    ground.brain.delay_note(ground.now, links[0], 400_000)
+    moved = ground.brain.wait(ground.now).moves
+    assert moved and all(links[number].host == links[0].host for number in moved)
+    ground.run(SECOND)
+    for link in links:
+        ground.brain.delay_note(ground.now, link, 400_000)
+    assert not ground.brain.wait(ground.now).moves
