--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -40,6 +40,8 @@
 )
 
 SECOND = 1_000_000  # microseconds
+# Outcomes that tell of what all setups depend on; no connection tells of one host or its links alone.
+TELLING = frozenset({Outcome.ENDED, Outcome.REFUSED, Outcome.FAULT, Outcome.SILENT, Outcome.CUT})
 
 TOKENS = 64  # ring points for a host of size 1: arcs then differ by about an eighth
 MOST_TOKENS = 1024  # ring points, whatever the size: keeps a rebuild under a few milliseconds
@@ -49,6 +51,9 @@
 LONGEST_REST_US = 6 * SECOND  # rests double up to this: a host that has returned is found within it
 HOLD_US = 50_000  # a link that no host may have now is looked at again after this
 BACK_US = 200_000  # the least wait advised to a shed client: longer than one round of further tries
+MANY = 8  # outcomes over all hosts by which the node judges what all setups depend on
+NODE_REST_US = 20_000  # first pause between two setup tries of a node when most fail everywhere
+LONGEST_NODE_REST_US = 1 * SECOND  # the longest: a few tries a second find out when it is over
 SLOW_US = 2 * SECOND  # a delay note counts this long: notes come once a second while it lasts
 STRAIN = 1.5  # what each second of drops or late messages multiplies a host's load by: two make it double
 MOST_STRAIN = 8.0  # and the most: a host never counts for less than an eighth of its size
@@ -67,10 +72,39 @@
 LOST_US = 10 * SECOND  # a list request without an answer for so long is taken for lost
 
 
-class Host:
+class Pace:
+    """How fast setup tries may go out, by the successes among the last few; to one host, or to all."""
+
+    def __init__(self, few: int, first: int, longest: int) -> None:
+        self.recent: deque[bool] = deque(maxlen=few)
+        self.first = first
+        self.longest = longest
+        self.rest = 0  # above 0: on probation, a try only once in so long
+        self.rest_until = 0
+
+    def judge(self, now: int, good: bool) -> None:
+        self.recent.append(good)
+        if not good and 2 * sum(self.recent) < len(self.recent):
+            self.relieve(now, self.first)
+        elif good:
+            # Each success halves the wait: what comes back after a failure must not come back all at once.
+            self.rest = self.rest // 2 if self.rest >= 2 * self.first else 0
+            self.rest_until = min(self.rest_until, now + self.rest)
+
+    def relieve(self, now: int, least: int) -> None:
+        """Rest; twice as long each time that a try fails again after a rest."""
+        if now >= self.rest_until:
+            self.rest = min(self.longest, max(least, 2 * self.rest))
+        elif self.rest < least:
+            self.rest = least
+        self.rest_until = max(self.rest_until, now + self.rest)
+
+
+class Host(Pace):
     """All that this node knows of one host."""
 
     def __init__(self, line: Listed) -> None:
+        super().__init__(FEW, REST_US, LONGEST_REST_US)
         self.number = line.host
         self.name = line.name
         self.open: dict[int, Link] = {}  # own links that stand there or are being set up
@@ -78,9 +112,6 @@
         self.unknown = 0
         self.strain = 1.0  # above 1: it was short of capacity lately, at so much less than its size says
         self.strain_at = 0
-        self.recent: deque[bool] = deque(maxlen=FEW)
-        self.rest = 0  # above 0: on probation, a new link only once in so long
-        self.rest_until = 0
         self.slow_until = 0
         self.move_at = 0
         self.x0 = 0.0
@@ -119,6 +150,7 @@
         self.spots: list[int] = []  # the ring: points in order, and the host of each
         self.owners: list[Host] = []
         self.walks: dict[int, list[Host]] = {}  # walks already taken from a point of the ring
+        self.pace = Pace(MANY, NODE_REST_US, LONGEST_NODE_REST_US)
         self.noted = 0.0  # running mean of noted loads
         self.listening = False  # a list subscription stands
         self.asking = False  # a list request is out
@@ -135,19 +167,28 @@
         # A link held too long would miss its final answer: it gets it while there is still time.
         if now + HOLD_US >= link.cut_off or link.tries >= self.terms.most_tries:
             return self.final(now, link)
+        # When setups fail everywhere, what they all depend on is overrun: every further try then feeds the
+        # storm, and it does not end with its cause. Tries go out one by one until they succeed again.
+        if now < self.pace.rest_until:
+            return self.hold(now, link, self.pace.rest_until)
         walk = [host for host in self.walk(link) if self.may_repeat(now, link, host)]
         if not walk and link.ran_at >= 0:
             return self.final(now, link)
         open_to = [host for host in walk if self.in_budget(now, host, link)]
         host = self.choose(now, link, walk[:2], open_to)
         if host is None:
-            return Answer(NOT_YET, min(link.cut_off - HOLD_US, now + int(self.uniform(HOLD_US, 2 * HOLD_US))))
+            return self.hold(now, link, now)
         self.sent(now, link, host)
         spare = 0
         if link.tries < self.terms.most_tries:
             spare = min(self.terms.tariffs[link.tariff].expected_us, (link.cut_off - now) // 3)
         return Answer(host.number, link.cut_off - spare)
 
+    def hold(self, now: int, link: Link, until: int) -> Answer:
+        """Not yet; spread a little, or all that wait would come back at once."""
+        at = max(until, now + HOLD_US) + int(self.uniform(0, HOLD_US))
+        return Answer(NOT_YET, min(link.cut_off - HOLD_US, at))
+
     def choose(self, now: int, link: Link, pair: list[Host], open_to: list[Host]) -> Host | None:
         """The less loaded of the key's master and second candidate; past them only where both are unfit."""
         if link.mid_flow and link.tries == 0 and pair:
@@ -305,6 +346,7 @@
         # On probation one link at a time tries it: a crowd would all wait for a host that may be silent, or
         # push over one that has just come back to its senses.
         host.rest_until = now + host.rest
+        self.pace.rest_until = now + self.pace.rest
         host.add(link)
         link.host, link.out, link.sent_at = host.number, True, now
         link.tries += 1
@@ -316,40 +358,25 @@
         host = self.hosts[link.host]
         if what is Outcome.STANDS:
             link.open, link.out = True, False
-            self.judge(now, host, True)
+            host.judge(now, True)
+            self.pace.judge(now, True)
             return Answer(DONE)
         # Refused, failed or dropped: no longer counted, or the host would look busier than it is.
         host.remove(link)
         if what is Outcome.CUT:
             self.overdriven(now, host)
-            self.relieve(now, host, DROP_REST_US)
+            host.relieve(now, DROP_REST_US)
         elif what is Outcome.REFUSED:
-            self.relieve(now, host, REST_US)
+            host.relieve(now, REST_US)
         elif not link.open and what is not Outcome.UNSENT and what is not Outcome.CANCELLED:
-            self.judge(now, host, what is Outcome.ENDED)
+            host.judge(now, what is Outcome.ENDED)
+        if not link.open and what in TELLING:
+            self.pace.judge(now, what is Outcome.ENDED)
         if what not in NEVER_RAN and link.ran_at < 0:
             link.ran_at, link.ran_host = link.sent_at, host.number
         link.out = link.open = False
         return Answer(DONE) if done else self.place(now, link)
 
-    def judge(self, now: int, host: Host, good: bool) -> None:
-        """A host is judged by the successes among its last few outcomes."""
-        host.recent.append(good)
-        if not good and 2 * sum(host.recent) < len(host.recent):
-            self.relieve(now, host, REST_US)
-        elif good:
-            # Each success halves the wait: what comes back after a failure must not come back all at once.
-            host.rest = host.rest // 2 if host.rest >= 2 * REST_US else 0
-            host.rest_until = min(host.rest_until, now + host.rest)
-
-    def relieve(self, now: int, host: Host, least: int) -> None:
-        """Let a host rest; twice as long each time that it fails again after its rest."""
-        if now >= host.rest_until:
-            host.rest = min(LONGEST_REST_US, max(least, 2 * host.rest))
-        elif host.rest < least:
-            host.rest = least
-        host.rest_until = max(host.rest_until, now + host.rest)
-
     # What the node observes.
 
     def hosts_listed(self, now: int, lines: Iterable[Listed], whole: bool, asked: bool) -> None:
@@ -392,7 +419,7 @@
         """A probe's result."""
         host = self.hosts[number]
         if not answered or host.rest:
-            self.judge(now, host, answered)
+            host.judge(now, answered)
         if x0 is not None:
             host.x0, host.x0_at = x0, now
 
