Walk past unreachable hosts; keep links to their two hosts in wide trouble

Cause: in trouble that hits most hosts links strayed along the ring, and each stray made one more host pay for its group. Strays now leave slow hosts first.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -112,6 +112,7 @@
         self.unknown = 0
         self.strain = 1.0  # above 1: it was short of capacity lately, at so much less than its size says
         self.strain_at = 0
+        self.unreached = False  # the last outcome was no connection at all
         self.slow_until = 0
         self.move_at = 0
         self.x0 = 0.0
@@ -175,7 +176,7 @@
         if not walk and link.ran_at >= 0:
             return self.final(now, link)
         open_to = [host for host in walk if self.in_budget(now, host, link)]
-        host = self.choose(now, link, walk[:2], open_to)
+        host = self.choose(now, link, self.pair(now, walk), open_to)
         if host is None:
             return self.hold(now, link, now)
         self.sent(now, link, host)
@@ -197,9 +198,10 @@
             open_to = [host for host in open_to if host.number != link.host]
         mean = self.mean_load()
         fit = [host for host in open_to if self.fit(now, host)]
-        # A slowdown that hits every host is no reason to turn all links away: slow then means nothing.
-        if not fit:
-            fit = [host for host in open_to if now >= host.rest_until]
+        # In trouble that hits most hosts, slow means nothing; and a link that strays from its group's hosts
+        # then adds the group's own work to one more host, until all of them drown in it.
+        if 2 * len(fit) <= sum(not self.absent(now, host) for host in open_to):
+            fit = [host for host in pair if host in open_to and now >= host.rest_until]
         best = [host for host in pair if host in fit and not self.crowded(now, host, mean)]
         if len(best) == 2:
             master, second = (self.gauge(now, host, mean) for host in best)
@@ -212,6 +214,14 @@
                 return host
         return min(fit, key=lambda host: self.gauge(now, host, mean), default=None)
 
+    def absent(self, now: int, host: Host) -> bool:
+        """Whether no connection to a host can be had: it is as good as gone until its next trial."""
+        return host.unreached and now < host.rest_until
+
+    def pair(self, now: int, walk: list[Host]) -> list[Host]:
+        """The master and the second candidate on a walk."""
+        return [host for host in walk if not self.absent(now, host)][:2]
+
     def spot(self, link: Link) -> int:
         """Where on the ring a link's group, else its key, lies; anywhere where it has neither."""
         key = link.group if self.terms.grouped and link.group else link.key
@@ -358,6 +368,7 @@
         host = self.hosts[link.host]
         if what is Outcome.STANDS:
             link.open, link.out = True, False
+            host.unreached = False
             host.judge(now, True)
             self.pace.judge(now, True)
             return Answer(DONE)
@@ -369,6 +380,7 @@
         elif what is Outcome.REFUSED:
             host.relieve(now, REST_US)
         elif not link.open and what is not Outcome.UNSENT and what is not Outcome.CANCELLED:
+            host.unreached = what is Outcome.UNREACHED
             host.judge(now, what is Outcome.ENDED)
         if not link.open and what in TELLING:
             self.pace.judge(now, what is Outcome.ENDED)
@@ -418,6 +430,7 @@
     def report(self, now: int, number: int, answered: bool, x0: float | None) -> None:
         """A probe's result."""
         host = self.hosts[number]
+        host.unreached = not answered
         if not answered or host.rest:
             host.judge(now, answered)
         if x0 is not None:
@@ -483,25 +496,26 @@
         """Links to be moved off hosts whose messages have grown slow."""
         ready = [host for host in self.hosts.values() if host.state is State.READY]
         slow = [host for host in ready if now < host.slow_until]
-        # A slowdown of everything is not cured by moving: links would only be cut for nothing.
-        if not slow or 2 * len(slow) > len(ready):
-            return []
         moved: list[Link] = []
         for host in slow:
             if now < host.move_at:
                 continue
             host.move_at = now + MOVE_US
             # Whole groups go, and on every node the same ones first: a group left in part on a host still
-            # costs that host the group's own work.
-            groups: dict[int, list[Link]] = {}
+            # costs that host the group's own work. Groups strayed from both their candidates go before all.
+            groups: dict[tuple[int, int], list[Link]] = {}
             for link in host.open.values():
                 if link.open:
-                    groups.setdefault(self.spot(link), []).append(link)
+                    pair = self.walk(link)[:2]
+                    groups.setdefault((pair.index(host) if host in pair else -1, self.spot(link)), []).append(
+                        link
+                    )
             room = max(1, round(MOVE_SHARE * len(host.open)))
-            for _, members in sorted(groups.items()):
-                if room <= 0:
+            for (place, _), members in sorted(groups.items()):
+                # A slowdown of everything is not cured by moving, unless it is the strays that cause it.
+                if room <= 0 or (place >= 0 and 2 * len(slow) > len(ready)):
                     break
-                if any(self.fit(now, other) for other in self.walk(members[0])[:2]):
+                if place < 0 or any(self.fit(now, other) for other in self.walk(members[0])[:2]):
                     moved += members[:room]
                     room -= len(members)
         for link in moved:
