--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -515,9 +515,7 @@
                 # A slowdown of everything is not cured by moving, unless it is the strays that cause it.
                 if room <= 0 or (place >= 0 and 2 * len(slow) > len(ready)):
                     break
-                if place < 0:
-                    moved += members  # all at once: half a group left behind costs as much as all of it
-                elif any(self.fit(now, other) for other in self.walk(members[0])[:2]):
+                if place < 0 or any(self.fit(now, other) for other in self.walk(members[0])[:2]):
                     moved += members[:room]
                     room -= len(members)
         for link in moved:
