--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -64,7 +64,6 @@
 TIE = 2.0  # links by which the second must be lighter than the master to be chosen
 HOT = 2.0  # times the mean load above which both candidates count as crowded
 HOT_LINKS = 4.0  # and at least so many links above it: small counts differ by that much by chance
-DOUBT_US = 1 * SECOND  # between two while some host could not be reached of late
 PROBE_US = 3 * SECOND  # between two probes of a host for its load
 STALE_US = 10 * SECOND  # a probed load older than this is forgotten
 X0_WEIGHT = 2.0  # probed load counts so much against own links: it sees every node's
@@ -157,7 +156,6 @@
         self.listening = False  # a list subscription stands
         self.asking = False  # a list request is out
         self.ask_at = 0
-        self.doubt_until = 0  # a host could not be reached: others may be out of reach too
         self.ask_gap = ASK_US
         self.strictest = min((t.message_us for t in terms.tariffs if t.message_us), default=0)
 
@@ -383,8 +381,6 @@
             host.relieve(now, REST_US)
         elif not link.open and what is not Outcome.UNSENT and what is not Outcome.CANCELLED:
             host.unreached = what is Outcome.UNREACHED
-            if host.unreached:
-                self.doubt_until = now + 2 * DOUBT_US
             host.judge(now, what is Outcome.ENDED)
         if not link.open and what in TELLING:
             self.pace.judge(now, what is Outcome.ENDED)
@@ -435,8 +431,6 @@
         """A probe's result."""
         host = self.hosts[number]
         host.unreached = not answered
-        if host.unreached:
-            self.doubt_until = now + 2 * DOUBT_US
         if not answered or host.rest:
             host.judge(now, answered)
         if x0 is not None:
@@ -477,12 +471,12 @@
         wait = SECOND
         probes = []
         if self.terms.probes:
-            # One host that cannot be reached is seldom alone: the node looks at all, before links find out.
-            doubt = now < self.doubt_until
             for host in self.hosts.values():
-                if host.state is not State.READY or not (self.terms.probe_tells_load or doubt or host.rest):
+                if host.state is not State.READY:
+                    continue
+                gap = PROBE_US if self.terms.probe_tells_load else LONGEST_REST_US
+                if not self.terms.probe_tells_load and not host.rest:
                     continue
-                gap = DOUBT_US if doubt else PROBE_US
                 if now >= host.probed_at + gap:
                     host.probed_at = now
                     probes.append(host.number)
@@ -503,10 +497,6 @@
         ready = [host for host in self.hosts.values() if host.state is State.READY]
         slow = [host for host in ready if now < host.slow_until]
         moved: list[Link] = []
-        for host in ready:
-            # Links on a host that cannot be reached earn nothing, and nobody tells their clients so.
-            if host.unreached and host.rest > host.first:
-                moved += [link for link in host.open.values() if link.open]
         for host in slow:
             if now < host.move_at:
                 continue
