--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -64,7 +64,8 @@
 TIE = 2.0  # links by which the second must be lighter than the master to be chosen
 HOT = 2.0  # times the mean load above which both candidates count as crowded
 HOT_LINKS = 4.0  # and at least so many links above it: small counts differ by that much by chance
-PROBE_US = 3 * SECOND  # between two probes of a host for its load
+PROBE_US = 2 * SECOND  # a probed load serves this long: about as long as load takes to shift between hosts
+GLANCE_US = 25_000  # a new link waits this long for its candidates' probes: a round trip between zones
 STALE_US = 10 * SECOND  # a probed load older than this is forgotten
 X0_WEIGHT = 2.0  # probed load counts so much against own links: it sees every node's
 NOTED = 0.1  # weight of a new load note in the running mean of a link's load
@@ -112,6 +113,7 @@
         self.unknown = 0
         self.strain = 1.0  # above 1: it was short of capacity lately, at so much less than its size says
         self.strain_at = 0
+        self.wanted = False  # a link waits to know its load
         self.unreached = False  # the last outcome was no connection at all
         self.slow_until = 0
         self.move_at = 0
@@ -176,7 +178,10 @@
         if not walk and link.ran_at >= 0:
             return self.final(now, link)
         open_to = [host for host in walk if self.in_budget(now, host, link)]
-        host = self.choose(now, link, self.pair(now, walk), open_to)
+        pair = self.pair(now, walk)
+        if self.glance(now, link, pair):
+            return Answer(NOT_YET, now + GLANCE_US)
+        host = self.choose(now, link, pair, open_to)
         if host is None:
             return self.hold(now, link, now)
         self.sent(now, link, host)
@@ -190,6 +195,15 @@
         at = max(until, now + HOLD_US) + int(self.uniform(0, HOLD_US))
         return Answer(NOT_YET, min(link.cut_off - HOLD_US, at))
 
+    def glance(self, now: int, link: Link, pair: list[Host]) -> bool:
+        """Whether a new link had better wait for a look at its candidates' loads."""
+        if not self.terms.probe_tells_load or link.mid_flow or link.tries:
+            return False
+        stale = [host for host in pair if now >= host.probed_at + PROBE_US]
+        for host in stale:
+            host.wanted = True
+        return bool(stale)
+
     def choose(self, now: int, link: Link, pair: list[Host], open_to: list[Host]) -> Host | None:
         """The less loaded of the key's master and second candidate; past them only where both are unfit."""
         if link.mid_flow and link.tries == 0 and pair:
@@ -472,15 +486,11 @@
         probes = []
         if self.terms.probes:
             for host in self.hosts.values():
-                if host.state is not State.READY:
-                    continue
-                gap = PROBE_US if self.terms.probe_tells_load else LONGEST_REST_US
-                if not self.terms.probe_tells_load and not host.rest:
-                    continue
-                if now >= host.probed_at + gap:
-                    host.probed_at = now
-                    probes.append(host.number)
-                wait = min(wait, host.probed_at + gap - now)
+                if host.state is State.READY and (host.wanted or host.rest):
+                    if now >= host.probed_at + PROBE_US:
+                        host.probed_at, host.wanted = now, False
+                        probes.append(host.number)
+                    wait = min(wait, host.probed_at + PROBE_US - now)
         ask = False
         if self.terms.asked_list and not self.listening:
             if self.asking and now >= self.ask_at + LOST_US:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -156,3 +156,12 @@
     for link in links:
         ground.brain.delay_note(ground.now, link, 400_000)
     assert not ground.brain.wait(ground.now).moves
+
+
+def test_a_new_link_waits_briefly_for_its_candidates_load() -> None:
+    """Probes that never answer must not hold a link: it waits once, then is placed."""
+    ground = Ground(probes=True, probe_tells_load=True)
+    link = ground.arrive(key=3)
+    assert link.number in ground.held and len(ground.brain.wait(ground.now).probes) == 2
+    ground.run(SECOND // 10)
+    assert link.number in ground.out
