--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -212,10 +212,10 @@
             open_to = [host for host in open_to if host.number != link.host]
         mean = self.mean_load()
         fit = [host for host in open_to if self.fit(now, host)]
-        # In trouble that hits most hosts, slow means nothing; and a link that strays from its group's hosts
-        # then adds the group's own work to one more host, until all of them drown in it.
+        # In trouble that hits most hosts a link that strays from its group's hosts adds the group's own work to
+        # one more host, until all drown in it; and one put on a slow host is one more that earns nothing.
         if 2 * len(fit) <= sum(not self.absent(now, host) for host in open_to):
-            fit = [host for host in pair if host in open_to and now >= host.rest_until]
+            fit = [host for host in pair if host in fit]
         best = [host for host in pair if host in fit and not self.crowded(now, host, mean)]
         if len(best) == 2:
             master, second = (self.gauge(now, host, mean) for host in best)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -165,3 +165,18 @@
     assert link.number in ground.held and len(ground.brain.wait(ground.now).probes) == 2
     ground.run(SECOND // 10)
     assert link.number in ground.out
+
+
+def test_slow_hosts_take_no_new_link_even_when_all_are_slow() -> None:
+    """Links added to hosts that are late for everybody keep all of them late: the fleet never recovers."""
+    ground = Ground()
+    links = [ground.arrive(key=key) for key in range(1, 40)]
+    for link in links:
+        ground.end(link, Outcome.STANDS)
+        ground.brain.delay_note(ground.now, link, 400_000)
+    late = ground.arrive(key=50)
+    assert late.number in ground.held
+    for link in links:
+        ground.brain.delay_note(ground.now, link, 10_000)
+    ground.run(SECOND // 5)
+    assert late.number in ground.out
