--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -522,13 +522,10 @@
                     )
             room = max(1, round(MOVE_SHARE * len(host.open)))
             for (place, _), members in sorted(groups.items()):
-                if room <= 0:
+                # A slowdown of everything is not cured by moving, unless it is the strays that cause it.
+                if room <= 0 or (place >= 0 and 2 * len(slow) > len(ready)):
                     break
-                if (
-                    place < 0
-                    or 2 * len(slow) > len(ready)
-                    or any(self.fit(now, other) for other in self.walk(members[0])[:2])
-                ):
+                if place < 0 or any(self.fit(now, other) for other in self.walk(members[0])[:2]):
                     moved += members[:room]
                     room -= len(members)
         for link in moved:
