Answer a link at once when no host can be had before its cut-off

Cause: links were held to no purpose while both candidates were out for longer than they could wait.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -183,7 +183,8 @@
             return Answer(NOT_YET, now + GLANCE_US)
         host = self.choose(now, link, pair, open_to)
         if host is None:
-            return self.hold(now, link, now)
+            free = [max(h.rest_until, h.slow_until) for h in pair if self.warmth(now, h) >= 1.0]
+            return self.hold(now, link, min(free, default=now))
         self.sent(now, link, host)
         spare = 0
         if link.tries < self.terms.most_tries:
@@ -193,6 +194,9 @@
     def hold(self, now: int, link: Link, until: int) -> Answer:
         """Not yet; spread a little, or all that wait would come back at once."""
         at = max(until, now + HOLD_US) + int(self.uniform(0, HOLD_US))
+        # No hope before its cut-off: the client is told at once, and when to come back, not held until then.
+        if until > now and at + HOLD_US >= link.cut_off:
+            return self.final(now, link, until - now)
         return Answer(NOT_YET, min(link.cut_off - HOLD_US, at))
 
     def glance(self, now: int, link: Link, pair: list[Host]) -> bool:
@@ -212,8 +216,8 @@
             open_to = [host for host in open_to if host.number != link.host]
         mean = self.mean_load()
         fit = [host for host in open_to if self.fit(now, host)]
-        # In trouble that hits most hosts a link that strays from its group's hosts adds the group's own work to
-        # one more host, until all drown in it; and one put on a slow host is one more that earns nothing.
+        # In trouble that hits most hosts a link that strays from its group's hosts adds the group's own work
+        # to one more host, until all drown in it; and one put on a slow host is one more that earns nothing.
         if 2 * len(fit) <= sum(not self.absent(now, host) for host in open_to):
             fit = [host for host in pair if host in fit]
         best = [host for host in pair if host in fit and not self.crowded(now, host, mean)]
@@ -265,7 +269,7 @@
             return host.cell == first.cell
         return True
 
-    def final(self, now: int, link: Link) -> Answer:
+    def final(self, now: int, link: Link, back: int = BACK_US) -> Answer:
         """The one final answer of a link that will not be delivered."""
         tariff = self.terms.tariffs[link.tariff]
         # Shed says that a retry is harmless: never of a link whose second run would count twice.
@@ -280,7 +284,7 @@
         )
         if not told_safe:
             return Answer(GIVEN_UP)
-        advice = min(self.terms.longest_return_us, int(self.uniform(BACK_US, 2 * BACK_US)))
+        advice = min(self.terms.longest_return_us, int(self.uniform(back, 2 * back)))
         return Answer(SHED, advice)
 
     # What a host can take.
