--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -68,7 +68,6 @@
 GLANCE_US = 25_000  # a new link waits this long for its candidates' probes: a round trip between zones
 STALE_US = 10 * SECOND  # a probed load older than this is forgotten
 X0_WEIGHT = 2.0  # probed load counts so much against own links: it sees every node's
-NEAR_FULL = 0.8  # probed load over capacity above which a host counts as crowded: reports are noisy and lag
 NOTED = 0.1  # weight of a new load note in the running mean of a link's load
 ASK_US = SECOND // 2  # first pause after a failed list request; doubles
 LOST_US = 10 * SECOND  # a list request without an answer for so long is taken for lost
@@ -362,8 +361,6 @@
 
     def crowded(self, now: int, host: Host, mean: float) -> bool:
         """Whether a host bears far more of this node's links than the others: a hot key, or bad luck."""
-        if now < host.x0_at + STALE_US and host.x0 > NEAR_FULL:
-            return True
         own = self.own(now, host)
         return own > HOT * mean and own - mean > HOT_LINKS
 
