--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -524,7 +524,7 @@
                     groups.setdefault((pair.index(host) if host in pair else -1, self.spot(link)), []).append(
                         link
                     )
-            room = max(1, round(MOVE_SHARE * len(host.open) * 2 / self.terms.nodes))
+            room = max(1, round(MOVE_SHARE * len(host.open)))
             for (place, _), members in sorted(groups.items()):
                 # A slowdown of everything is not cured by moving, unless it is the strays that cause it.
                 if room <= 0 or (place >= 0 and 2 * len(slow) > len(ready)):
