--- a/larchlatch/wirehost/loop.py
+++ b/larchlatch/wirehost/loop.py
@@ -26,7 +26,10 @@
     def __init__(self, seed: int, conf: dict[str, Any]) -> None:
         self.terms = codec.terms_of(conf)
         self.brain = Brain(self.terms, random.Random(seed))
-        self.tariffs = {tariff["name"]: place for place, tariff in enumerate(conf["tariffs"])}
+        self.tariffs = {
+            codec.need(tariff, "name", str, "POWER_ON: conf.tariffs"): place
+            for place, tariff in enumerate(conf["tariffs"])
+        }
         self.zones = {name: place for place, name in enumerate(conf["areas"])}
         self.hosts: dict[str, int] = {}
         self.names: list[str] = []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from larchlatch.links import SHED, Outcome, State
+from larchlatch.links import DONE, SHED, Outcome, State
 from tests.ground import SECOND, Ground, line
 
 FAILURES = [Outcome.REFUSED, Outcome.UNREACHED, Outcome.FAULT, Outcome.SILENT, Outcome.CUT]
@@ -181,3 +181,11 @@
     for link in links:
         ground.brain.delay_note(ground.now, link, 10_000)
     assert ground.arrive(key=50).number in ground.out
+
+
+def test_a_link_whose_try_is_out_gets_no_second_one() -> None:
+    ground = Ground()
+    link = ground.arrive()
+    assert ground.brain.place(ground.now, link).host == DONE
+    ground.end(link, Outcome.STANDS)
+    assert ground.brain.place(ground.now, link).host == DONE
