--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -223,7 +223,7 @@
         # In trouble that hits most hosts a link that strays from its group's hosts adds the group's own work
         # to one more host, until all drown in it; and one put on a slow host is one more that earns nothing.
         if 4 * len(fit) <= 3 * sum(not self.absent(now, host) for host in open_to):
-            fit = [host for host in pair if host in fit][:1]
+            fit = [host for host in pair if host in fit]
         best = [host for host in pair if host in fit and not self.crowded(now, host, mean)]
         if len(best) == 2:
             master, second = (self.gauge(now, host, mean) for host in best)
