--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -16,8 +16,8 @@
 
 from bisect import bisect_right
 from collections import deque
-from collections.abc import Iterable
-from itertools import chain, islice
+from collections.abc import Iterable, Iterator
+from itertools import islice
 from random import Random
 
 from xxhash import xxh3_64_intdigest
@@ -43,7 +43,7 @@
 # Outcomes that tell of what all setups depend on; no connection tells of one host or its links alone.
 TELLING = frozenset({Outcome.ENDED, Outcome.REFUSED, Outcome.FAULT, Outcome.SILENT, Outcome.CUT})
 
-TOKENS = 64  # ring points for a host of size 1: arcs then differ by about an eighth
+TOKENS = 20  # ring points for a host of size 1: with a few cores each, arcs then differ by about an eighth
 MOST_TOKENS = 1024  # ring points, whatever the size: keeps a rebuild under a few milliseconds
 FEW = 3  # outcomes by which a host is judged: two failures in a row tell, one does not
 REST_US = 100_000  # first rest of a host after a failure: a full queue has moved on by then
@@ -136,6 +136,11 @@
             self.known_load -= link.load
             self.unknown -= not link.load
 
+    def spots(self, tokens: int) -> list[int]:
+        """Its points on the ring."""
+        name = self.name.encode()
+        return [xxh3_64_intdigest(name, token) for token in range(tokens)]
+
     def follow(self, line: Listed) -> None:
         """Take over what the list says."""
         if line.came_up > self.came_up and line.state is State.READY:
@@ -150,9 +155,8 @@
         self.terms = terms
         self.uniform = chance.uniform
         self.hosts: dict[int, Host] = {}
-        self.spots: list[int] = []  # the ring: points in order, and the host of each
-        self.owners: list[Host] = []
-        self.walks: dict[int, list[Host]] = {}  # walks already taken from a point of the ring
+        self.ring: list[tuple[int, int]] = []  # its points in order, and the host of each
+        self.look_at = 0  # when a host may next have something due
         self.pace = Pace(MANY, NODE_REST_US, LONGEST_NODE_REST_US)
         self.setup_us = 0.0  # running mean of what setups take
         self.noted = 0.0  # running mean of noted loads
@@ -175,14 +179,13 @@
         # storm, and it does not end with its cause. Tries go out one by one until they succeed again.
         if now < self.pace.rest_until:
             return self.hold(now, link, self.pace.rest_until)
-        walk = [host for host in self.walk(link) if self.may_repeat(now, link, host)]
-        if not walk and link.ran_at >= 0:
-            return self.final(now, link)
-        open_to = [host for host in walk if self.in_budget(now, host, link)]
+        walk = (host for host in self.walk(link) if self.may_repeat(now, link, host))
         pair = self.pair(now, walk)
+        if not pair and link.ran_at >= 0:
+            return self.final(now, link)
         if self.glance(now, link, pair):
             return Answer(NOT_YET, now + GLANCE_US)
-        host = self.choose(now, link, pair, open_to)
+        host = self.choose(now, link, pair, walk)
         if host is None:
             free = [max(h.rest_until, h.slow_until) for h in pair if self.warmth(now, h) >= 1.0]
             return self.hold(now, link, min(free, default=now))
@@ -209,53 +212,66 @@
         stale = [host for host in pair if now >= host.probed_at + PROBE_US]
         for host in stale:
             host.wanted = True
+            self.look_at = now
         return bool(stale)
 
-    def choose(self, now: int, link: Link, pair: list[Host], open_to: list[Host]) -> Host | None:
+    def choose(self, now: int, link: Link, pair: list[Host], beyond: Iterable[Host]) -> Host | None:
         """The less loaded of the key's master and second candidate; past them only where both are unfit."""
-        if link.mid_flow and link.tries == 0 and pair:
-            return pair[0] if pair[0] in open_to else next((h for h in pair[1:] if h in open_to), None)
-        if link.host >= 0 and link.tries and len(open_to) > 1:
+        open_to = [host for host in pair if self.in_budget(now, host, link)]
+        if link.mid_flow and link.tries == 0:
+            return open_to[0] if open_to else None
+        if link.tries and len(open_to) > 1:
             open_to = [host for host in open_to if host.number != link.host]
         mean = self.mean_load()
         fit = [host for host in open_to if self.fit(now, host)]
-        # In trouble that hits most hosts a link that strays from its group's hosts adds the group's own work
-        # to one more host, until all drown in it; and one put on a slow host is one more that earns nothing.
-        if 4 * len(fit) <= 3 * sum(not self.absent(now, host) for host in open_to):
-            fit = [host for host in pair if host in fit]
-        best = [host for host in pair if host in fit and not self.crowded(now, host, mean)]
+        best = [host for host in fit if not self.crowded(now, host, mean)]
         if len(best) == 2:
             master, second = (self.gauge(now, host, mean) for host in best)
             return best[1] if second + TIE < master else best[0]
         if best:
             return best[0]
-        # Both candidates are out of the question: on along the ring to the next host that is not.
-        for host in fit:
-            if not self.crowded(now, host, mean):
-                return host
+        # Both candidates are out of the question: on along the ring to the next host that is not. But in
+        # trouble that hits most hosts a link that strays from its group's hosts adds the group's own work to
+        # one more host, until all drown in it; and one put on a slow host is one more that earns nothing.
+        if not self.wide_trouble(now):
+            for host in beyond:
+                if not self.absent(now, host) and self.fit(now, host) and self.in_budget(now, host, link):
+                    if not self.crowded(now, host, mean):
+                        return host
+                    fit.append(host)
         return min(fit, key=lambda host: self.gauge(now, host, mean), default=None)
 
+    def wide_trouble(self, now: int) -> bool:
+        """Whether more than a quarter of the hosts that can be reached is slow or at rest."""
+        there = [
+            host for host in self.hosts.values() if host.state is State.READY and not self.absent(now, host)
+        ]
+        return 4 * sum(self.fit(now, host) for host in there) <= 3 * len(there)
+
     def absent(self, now: int, host: Host) -> bool:
         """Whether no connection to a host can be had: it is as good as gone until its next trial."""
         return host.unreached and now < host.rest_until
 
-    def pair(self, now: int, walk: list[Host]) -> list[Host]:
+    def pair(self, now: int, walk: Iterable[Host]) -> list[Host]:
         """The master and the second candidate on a walk."""
-        return [host for host in walk if not self.absent(now, host)][:2]
+        return list(islice((host for host in walk if not self.absent(now, host)), 2))
 
     def spot(self, link: Link) -> int:
         """Where on the ring a link's group, else its key, lies; anywhere where it has neither."""
         key = link.group if self.terms.grouped and link.group else link.key
         return xxh3_64_intdigest(key.to_bytes(8, "big")) if key else int(self.uniform(0, 2**64))
 
-    def walk(self, link: Link) -> list[Host]:
+    def walk(self, link: Link) -> Iterator[Host]:
         """The distinct ready hosts clockwise from the link's key."""
-        start = bisect_right(self.spots, self.spot(link))
-        walk = self.walks.get(start)
-        if walk is None:
-            walk = list(dict.fromkeys(chain(islice(self.owners, start, None), islice(self.owners, start))))
-            self.walks[start] = walk
-        return [host for host in walk if host.state is State.READY]
+        # Nearly every link needs the first two alone: a large fleet must not be walked round for each.
+        ring, seen = self.ring, set()
+        start = bisect_right(ring, (self.spot(link), len(self.hosts)))
+        for place in range(start - len(ring), start):
+            number = ring[place][1]
+            if number not in seen:
+                seen.add(number)
+                if self.hosts[number].state is State.READY:
+                    yield self.hosts[number]
 
     def may_repeat(self, now: int, link: Link, host: Host) -> bool:
         """Whether one more try of this link at this host cannot make its effect happen twice."""
@@ -394,6 +410,7 @@
             host.judge(now, True)
             self.pace.judge(now, True)
             return Answer(DONE)
+        self.look_at = now
         # Refused, failed or dropped: no longer counted, or the host would look busier than it is.
         host.remove(link)
         if what is Outcome.CUT:
@@ -418,6 +435,7 @@
     def hosts_listed(self, now: int, lines: Iterable[Listed], whole: bool, asked: bool) -> None:
         """A list, or the changes to it."""
         lines = list(lines)
+        before = self.shares()
         for line in lines:
             if line.host in self.hosts:
                 self.hosts[line.host].follow(line)
@@ -430,15 +448,17 @@
                     host.state = State.GONE
         if asked and self.terms.asked_list:
             self.listening, self.asking, self.ask_gap = True, False, ASK_US
-        ring = sorted(
-            (xxh3_64_intdigest(f"{host.name}#{token}".encode()), host.number)
-            for host in self.hosts.values()
-            if host.state is not State.GONE
-            for token in range(self.tokens(host))
-        )
-        self.walks.clear()
-        self.spots = [spot for spot, _ in ring]
-        self.owners = [self.hosts[number] for _, number in ring]
+        # Only what came or went is hashed and only then is the ring touched: with a large fleet and a list
+        # every second, building it anew each time costs more than all placements.
+        after = self.shares()
+        if after != before:
+            lost = {number for number, _ in before - after}
+            new = [(spot, number) for number, n in after - before for spot in self.hosts[number].spots(n)]
+            self.ring = sorted([*(entry for entry in self.ring if entry[1] not in lost), *new])
+
+    def shares(self) -> set[tuple[int, int]]:
+        """The hosts on the ring, each with its number of points."""
+        return {(h.number, self.tokens(h)) for h in self.hosts.values() if h.state is not State.GONE}
 
     def tokens(self, host: Host) -> int:
         """Ring points of a host; its own line alone sets them, so that a change remaps locally."""
@@ -474,6 +494,7 @@
         host = self.hosts[link.host]
         if self.strictest and delay_us > NEAR * self.strictest:
             host.slow_until = now + SLOW_US
+            self.look_at = now
             self.overdriven(now, host)
         else:
             host.slow_until = 0
@@ -494,15 +515,12 @@
 
     def wait(self, now: int) -> Due:
         """What falls due now, and how long until the next does."""
-        wait = SECOND
-        probes = []
-        if self.terms.probes:
-            for host in self.hosts.values():
-                if host.state is State.READY and (host.wanted or host.rest):
-                    if now >= host.probed_at + PROBE_US:
-                        host.probed_at, host.wanted = now, False
-                        probes.append(host.number)
-                    wait = min(wait, host.probed_at + PROBE_US - now)
+        probes, moves = [], []
+        # Asked after every event: all hosts are looked at only when one of them may have something due.
+        if now >= self.look_at:
+            self.look_at = now + SECOND
+            probes, moves = self.probes(now), self.moves(now)
+        wait = self.look_at - now
         ask = False
         if self.terms.asked_list and not self.listening:
             if self.asking and now >= self.ask_at + LOST_US:
@@ -512,7 +530,18 @@
                 self.ask_at = now
             elif not self.asking:
                 wait = min(wait, self.ask_at - now)
-        return Due(wait, probes, ask, self.moves(now))
+        return Due(wait, probes, ask, moves)
+
+    def probes(self, now: int) -> list[int]:
+        """Hosts to be probed: a link waits to know its load, or it is on probation."""
+        wanting = [h for h in self.hosts.values() if h.state is State.READY and (h.wanted or h.rest)]
+        if not self.terms.probes or not wanting:
+            return []
+        due = [host for host in wanting if now >= host.probed_at + PROBE_US]
+        for host in due:
+            host.probed_at, host.wanted = now, False
+        self.look_at = min(self.look_at, min(host.probed_at for host in wanting) + PROBE_US)
+        return [host.number for host in due]
 
     def moves(self, now: int) -> list[int]:
         """Links to be moved off hosts whose messages have grown slow."""
@@ -521,6 +550,7 @@
         moved: list[Link] = []
         for host in slow:
             if now < host.move_at:
+                self.look_at = min(self.look_at, host.move_at)
                 continue
             host.move_at = now + MOVE_US
             # Whole groups go, and on every node the same ones first: a group left in part on a host still
@@ -528,7 +558,7 @@
             groups: dict[tuple[int, int], list[Link]] = {}
             for link in host.open.values():
                 if link.open:
-                    pair = self.walk(link)[:2]
+                    pair = list(islice(self.walk(link), 2))
                     groups.setdefault((pair.index(host) if host in pair else -1, self.spot(link)), []).append(
                         link
                     )
@@ -537,7 +567,7 @@
                 # A slowdown of everything is not cured by moving, unless it is the strays that cause it.
                 if room <= 0 or (place >= 0 and 2 * len(slow) > len(ready)):
                     break
-                if place < 0 or any(self.fit(now, other) for other in self.walk(members[0])[:2]):
+                if place < 0 or any(self.fit(now, other) for other in islice(self.walk(members[0]), 2)):
                     moved += members[:room]
                     room -= len(members)
         for link in moved:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -211,3 +211,14 @@
     ground.brain.standing(ground.now, link, 77)
     assert ground.arrive(key=1).host != 77
     assert ground.brain.outcome(ground.now, link, Outcome.CUT, done=True).host == DONE
+
+
+@settings(derandomize=True, max_examples=30, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 9), st.sampled_from(list(State))), max_size=30))
+def test_a_ring_changed_line_by_line_is_the_ring_of_the_last_list(changes: list[tuple[int, State]]) -> None:
+    ground = Ground()
+    for number, state in changes:
+        ground.relist(line(number, state))
+    fresh = Ground(seed=9, hosts=0)
+    fresh.relist(*ground.lines.values())
+    assert ground.brain.ring == fresh.brain.ring
