Move a share of a slow host's links by chance, not one at least from each node

Cause: with a handful of links a node, one move at least per node and second emptied slow hosts at once and filled the next ones.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -562,7 +562,9 @@
                     groups.setdefault((pair.index(host) if host in pair else -1, self.spot(link)), []).append(
                         link
                     )
-            room = max(1, round(MOVE_SHARE * len(host.open)))
+            # A share of the whole fleet's links goes only if a node with few of them moves none in most rounds:
+            # one at least from each of hundreds of nodes empties the host and fills the next, on and on.
+            room = int(MOVE_SHARE * len(host.open) + self.uniform(0, 1))
             for (place, _), members in sorted(groups.items()):
                 # A slowdown of everything is not cured by moving, unless it is the strays that cause it.
                 if room <= 0 or (place >= 0 and 2 * len(slow) > len(ready)):
