--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -68,8 +68,7 @@
 GLANCE_US = 25_000  # a new link waits this long for its candidates' probes: a round trip between zones
 STALE_US = 10 * SECOND  # a probed load older than this is forgotten
 X0_WEIGHT = 2.0  # probed load counts so much against own links: it sees every node's
-NOTED = 0.1  # weight of a new figure in the running means of a link's load and of a setup's time
-PATIENCE = 8.0  # times the mean setup time that a first try is allowed: setups vary by as much
+NOTED = 0.1  # weight of a new figure in the running mean of a link's load
 ASK_US = SECOND // 2  # first pause after a failed list request; doubles
 LOST_US = 10 * SECOND  # a list request without an answer for so long is taken for lost
 
@@ -158,7 +157,6 @@
         self.ring: list[tuple[int, int]] = []  # its points in order, and the host of each
         self.look_at = 0  # when a host may next have something due
         self.pace = Pace(MANY, NODE_REST_US, LONGEST_NODE_REST_US)
-        self.setup_us = 0.0  # running mean of what setups take
         self.noted = 0.0  # running mean of noted loads
         self.listening = False  # a list subscription stands
         self.asking = False  # a list request is out
@@ -190,12 +188,9 @@
             free = [max(h.rest_until, h.slow_until) for h in pair if self.warmth(now, h) >= 1.0]
             return self.hold(now, link, min(free, default=now))
         self.sent(now, link, host)
-        expected = self.terms.tariffs[link.tariff].expected_us
-        spare = min(expected, (link.cut_off - now) // 3) if link.tries < self.terms.most_tries else 0
-        # A try lost in a cut is worth another soon; but where setups have grown slow for all, giving tries up
-        # early only adds more of them, so the time allowed follows what setups take, and doubles with each.
-        allowed = max(expected, int(PATIENCE * self.setup_us)) << (link.tries - 1)
-        return Answer(host.number, min(link.cut_off - spare, now + allowed) if spare else link.cut_off)
+        # A host that is gone shows as no connection, soon. A set-up that takes long stands in a queue with
+        # everybody's, and one given up there is served all the same: time-outs would fill it with dead work.
+        return Answer(host.number, link.cut_off)
 
     def hold(self, now: int, link: Link, until: int) -> Answer:
         """Not yet; spread a little, or all that wait would come back at once."""
@@ -406,7 +401,6 @@
         if what is Outcome.STANDS:
             link.open, link.out = True, False
             host.unreached = False
-            self.setup_us += NOTED * (now - link.sent_at - self.setup_us)
             host.judge(now, True)
             self.pace.judge(now, True)
             return Answer(DONE)
@@ -419,8 +413,6 @@
         elif what is Outcome.REFUSED:
             host.relieve(now, REST_US)
         elif not link.open and what is not Outcome.UNSENT and what is not Outcome.CANCELLED:
-            if what is Outcome.SILENT:
-                self.setup_us += NOTED * max(0.0, now - link.sent_at - self.setup_us)
             host.unreached = what is Outcome.UNREACHED
             host.judge(now, what is Outcome.ENDED)
         if not link.open and what in TELLING:
@@ -562,7 +554,7 @@
                     groups.setdefault((pair.index(host) if host in pair else -1, self.spot(link)), []).append(
                         link
                     )
-            # A share of the whole fleet's links goes only if a node with few of them moves none in most rounds:
+            # A share of the fleet's links goes only if a node with few of them moves none in most rounds:
             # one at least from each of hundreds of nodes empties the host and fills the next, on and on.
             room = int(MOVE_SHARE * len(host.open) + self.uniform(0, 1))
             for (place, _), members in sorted(groups.items()):
