Gauge in ratios to the mean with a prior of eight links, probed load weighed by nodes

Cause: the tie margin of two links and the crowded margin of four could not be reached by a node with a handful of links, nor could probed load or strain reach them, so links went to the master whatever was known.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -61,13 +61,13 @@
 NEAR = 0.34  # share of the strictest wanted message time above which a host counts as slow: notes start there
 MOVE_US = SECOND  # between two rounds of moves off a slow host: the next note tells what the last ones did
 MOVE_SHARE = 0.1  # of a slow host's own links in one round: a host just over the edge comes back in one
-TIE = 2.0  # links by which the second must be lighter than the master to be chosen
+PRIOR = 8.0  # links at the mean counted with a host's own: small counts differ by so much by chance
+TIE = 1.2  # the master must be so many times as loaded as the second for that to be chosen
 HOT = 2.0  # times the mean load above which both candidates count as crowded
-HOT_LINKS = 4.0  # and at least so many links above it: small counts differ by that much by chance
 PROBE_US = 2 * SECOND  # a probed load serves this long: about as long as load takes to shift between hosts
 GLANCE_US = 25_000  # a new link waits this long for its candidates' probes: a round trip between zones
 STALE_US = 10 * SECOND  # a probed load older than this is forgotten
-X0_WEIGHT = 2.0  # probed load counts so much against own links: it sees every node's
+X0_WEIGHT = 0.5  # weight of probed load against own links for each node: it sees every node's
 NOTED = 0.1  # weight of a new figure in the running mean of a link's load
 ASK_US = SECOND // 2  # first pause after a failed list request; doubles
 LOST_US = 10 * SECOND  # a list request without an answer for so long is taken for lost
@@ -222,7 +222,7 @@
         best = [host for host in fit if not self.crowded(now, host, mean)]
         if len(best) == 2:
             master, second = (self.gauge(now, host, mean) for host in best)
-            return best[1] if second + TIE < master else best[0]
+            return best[1] if TIE * second < master else best[0]
         if best:
             return best[0]
         # Both candidates are out of the question: on along the ring to the next host that is not. But in
@@ -341,15 +341,18 @@
         """Own open links, in usual links."""
         return (host.known_load / self.noted if self.noted else 0.0) + host.unknown
 
-    def own(self, now: int, host: Host) -> float:
-        """Own open links per unit of the size that the host has shown to have."""
-        return self.links_at(host) * self.strained(now, host) / (host.size * self.warmth(now, host))
+    def own(self, now: int, host: Host, mean: float) -> float:
+        """Own open links over what the mean would give a host that can do what this one has shown to."""
+        # Where each node has a few links, none or two on a host say nothing of its load: the mean stands in.
+        share = mean * host.size
+        links = (self.links_at(host) if host.open else share) + PRIOR
+        return links / (share + PRIOR) * self.strained(now, host) / self.warmth(now, host)
 
     def mean_load(self) -> float:
-        """Own open links per unit of size over all ready hosts that have some."""
-        used = [h for h in self.hosts.values() if h.state is State.READY and h.open]
-        size = sum(h.size for h in used)
-        return sum(map(self.links_at, used)) / size if size else 0.0
+        """Own open links per unit of size over all ready hosts."""
+        ready = [host for host in self.hosts.values() if host.state is State.READY]
+        size = sum(host.size for host in ready)
+        return sum(self.links_at(host) for host in ready if host.open) / size if size else 0.0
 
     def strained(self, now: int, host: Host) -> float:
         """How much less than its size a host could do of late; forgotten evenly over STRAIN_US."""
@@ -365,18 +368,19 @@
             host.strain_at = now
 
     def gauge(self, now: int, host: Host, mean: float) -> float:
-        """A host's load in own links per unit of size; probed load, where known, is put in the same unit."""
-        own = self.own(now, host) if host.open else mean * self.strained(now, host)
+        """A host's load over the mean host's: own links, and probed load in the same unit where known."""
+        own = self.own(now, host, mean)
         if now >= host.x0_at + STALE_US:
             return own
         fresh = [h.x0 for h in self.hosts.values() if h.state is State.READY and now < h.x0_at + STALE_US]
         total = sum(fresh)
-        return own + X0_WEIGHT * mean * host.x0 * len(fresh) / total if total else own
+        # The more nodes there are, the less of a host's load is this node's own.
+        weight = X0_WEIGHT * self.terms.nodes
+        return (own + weight * host.x0 * len(fresh) / total) / (1 + weight) if total else own
 
     def crowded(self, now: int, host: Host, mean: float) -> bool:
         """Whether a host bears far more of this node's links than the others: a hot key, or bad luck."""
-        own = self.own(now, host)
-        return own > HOT * mean and own - mean > HOT_LINKS
+        return self.own(now, host, mean) > HOT
 
     def fit(self, now: int, host: Host) -> bool:
         return now >= host.slow_until and now >= host.rest_until
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -221,3 +221,15 @@
     fresh = Ground(seed=9, hosts=0)
     fresh.relist(*ground.lines.values())
     assert ground.brain.ring == fresh.brain.ring
+
+
+def test_a_node_with_hardly_a_link_goes_by_probed_load_not_by_its_own_counts() -> None:
+    """One node of hundreds holds a link or two a host: counted alone they say nothing, and nothing would move."""
+    ground = Ground(nodes=200, probes=True, probe_tells_load=True)
+    link = ground.arrive(key=3)
+    master, second = ground.brain.wait(ground.now).probes
+    first = next(ground.brain.walk(link)).number
+    for number in (master, second):
+        ground.brain.report(ground.now, number, True, 0.9 if number == first else 0.3)
+    ground.run(SECOND // 10)
+    assert ground.out[link.number] not in (-1, first)
