--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -223,7 +223,7 @@
     assert ground.brain.ring == fresh.brain.ring
 
 
-def test_a_node_with_hardly_a_link_goes_by_probed_load_not_by_its_own_counts() -> None:
+def test_a_node_with_hardly_a_link_goes_by_probed_load() -> None:
     """One node of hundreds holds a link or two a host: counted alone they say nothing, and nothing would move."""
     ground = Ground(nodes=200, probes=True, probe_tells_load=True)
     link = ground.arrive(key=3)
