Spread a group too large for two hosts along the ring by its share of own links

Cause: at size the largest groups are worth ten to thirty hosts; their pairs dropped links over and over and walking on one host at a time kept a chain of hosts at the edge.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -15,9 +15,9 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable, Iterator
-from itertools import islice
+from itertools import chain, islice
 from random import Random
 
 from xxhash import xxh3_64_intdigest
@@ -154,6 +154,8 @@
         self.terms = terms
         self.uniform = chance.uniform
         self.hosts: dict[int, Host] = {}
+        self.groups: Counter[int] = Counter()  # own open links of each group
+        self.held = 0  # own open links
         self.ring: list[tuple[int, int]] = []  # its points in order, and the host of each
         self.look_at = 0  # when a host may next have something due
         self.pace = Pace(MANY, NODE_REST_US, LONGEST_NODE_REST_US)
@@ -178,12 +180,12 @@
         if now < self.pace.rest_until:
             return self.hold(now, link, self.pace.rest_until)
         walk = (host for host in self.walk(link) if self.may_repeat(now, link, host))
-        pair = self.pair(now, walk)
+        pair, others = self.pair(now, link, walk)
         if not pair and link.ran_at >= 0:
             return self.final(now, link)
         if self.glance(now, link, pair):
             return Answer(NOT_YET, now + GLANCE_US)
-        host = self.choose(now, link, pair, walk)
+        host = self.choose(now, link, pair, others, walk)
         if host is None:
             free = [max(h.rest_until, h.slow_until) for h in pair if self.warmth(now, h) >= 1.0]
             return self.hold(now, link, min(free, default=now))
@@ -210,7 +212,9 @@
             self.look_at = now
         return bool(stale)
 
-    def choose(self, now: int, link: Link, pair: list[Host], beyond: Iterable[Host]) -> Host | None:
+    def choose(
+        self, now: int, link: Link, pair: list[Host], others: list[Host], beyond: Iterable[Host]
+    ) -> Host | None:
         """The less loaded of the key's master and second candidate; past them only where both are unfit."""
         open_to = [host for host in pair if self.in_budget(now, host, link)]
         if link.mid_flow and link.tries == 0:
@@ -228,12 +232,11 @@
         # Both candidates are out of the question: on along the ring to the next host that is not. But in
         # trouble that hits most hosts a link that strays from its group's hosts adds the group's own work to
         # one more host, until all drown in it; and one put on a slow host is one more that earns nothing.
-        if not self.wide_trouble(now):
-            for host in beyond:
-                if not self.absent(now, host) and self.fit(now, host) and self.in_budget(now, host, link):
-                    if not self.crowded(now, host, mean):
-                        return host
-                    fit.append(host)
+        for host in others if self.wide_trouble(now) else chain(others, beyond):
+            if not self.absent(now, host) and self.fit(now, host) and self.in_budget(now, host, link):
+                if not self.crowded(now, host, mean):
+                    return host
+                fit.append(host)
         return min(fit, key=lambda host: self.gauge(now, host, mean), default=None)
 
     def wide_trouble(self, now: int) -> bool:
@@ -247,14 +250,48 @@
         """Whether no connection to a host can be had: it is as good as gone until its next trial."""
         return host.unreached and now < host.rest_until
 
-    def pair(self, now: int, walk: Iterable[Host]) -> list[Host]:
-        """The master and the second candidate on a walk."""
-        return list(islice((host for host in walk if not self.absent(now, host)), 2))
+    def pair(self, now: int, link: Link, walk: Iterable[Host]) -> tuple[list[Host], list[Host]]:
+        """The master and the second candidate on a walk, and the others that a large group spreads to."""
+        reach = self.reach(link)
+        pool = list(islice((host for host in walk if not self.absent(now, host)), reach))
+        if reach > 2:
+            key = (link.key or 0) % 2**64
+            pool.sort(key=lambda host: xxh3_64_intdigest(host.name.encode(), key))
+        return pool[:2], pool[2:]
+
+    def reach(self, link: Link) -> int:
+        """Over how many hosts a link's group spreads."""
+        # Two hosts cannot bear a group that makes up a tenth of a large fleet's links: they would drop them
+        # over and over. It spreads along the ring so that none gets more of it than a mean host bears in all,
+        # each of its links with a pair of its own among these. Nodes that see it differ only in the last few.
+        kin = self.kin(link)
+        share = self.groups[kin] / (self.held + PRIOR) if kin else 0.0
+        return max(2, int(share * sum(host.state is State.READY for host in self.hosts.values())))
+
+    def kin(self, link: Link) -> int:
+        """What a link shares a place on the ring with others by: its group, else its key; 0: nothing."""
+        return (link.group if self.terms.grouped and link.group else link.key) or 0
+
+    def add(self, host: Host, link: Link) -> None:
+        """Count a link at a host."""
+        if link.number not in host.open:
+            host.add(link)
+            self.groups[self.kin(link)] += 1
+            self.held += 1
+
+    def remove(self, host: Host, link: Link) -> None:
+        if link.number in host.open:
+            host.remove(link)
+            kin = self.kin(link)
+            self.groups[kin] -= 1
+            if not self.groups[kin]:
+                del self.groups[kin]
+            self.held -= 1
 
     def spot(self, link: Link) -> int:
         """Where on the ring a link's group, else its key, lies; anywhere where it has neither."""
-        key = link.group if self.terms.grouped and link.group else link.key
-        return xxh3_64_intdigest(key.to_bytes(8, "big")) if key else int(self.uniform(0, 2**64))
+        kin = self.kin(link)
+        return xxh3_64_intdigest(kin.to_bytes(8, "big")) if kin else int(self.uniform(0, 2**64))
 
     def walk(self, link: Link) -> Iterator[Host]:
         """The distinct ready hosts clockwise from the link's key."""
@@ -393,7 +430,7 @@
         # push over one that has just come back to its senses.
         host.rest_until = now + host.rest
         self.pace.rest_until = now + self.pace.rest
-        host.add(link)
+        self.add(host, link)
         link.host, link.out, link.sent_at = host.number, True, now
         link.tries += 1
 
@@ -410,7 +447,7 @@
             return Answer(DONE)
         self.look_at = now
         # Refused, failed or dropped: no longer counted, or the host would look busier than it is.
-        host.remove(link)
+        self.remove(host, link)
         if what is Outcome.CUT:
             self.overdriven(now, host)
             host.relieve(now, DROP_REST_US)
@@ -500,12 +537,12 @@
         link.host, link.open = number, True
         if number not in self.hosts:  # a link may outlive its host's line in an old list
             self.hosts[number] = Host(Listed(number, "", -1, -1, State.GONE, 1.0, 0))
-        self.hosts[number].add(link)
+        self.add(self.hosts[number], link)
 
     def left(self, now: int, link: Link) -> None:
         """The client is gone, or its link is no longer this node's."""
         if link.host >= 0:
-            self.hosts[link.host].remove(link)
+            self.remove(self.hosts[link.host], link)
 
     # How long to wait.
 
@@ -554,8 +591,8 @@
             groups: dict[tuple[int, int], list[Link]] = {}
             for link in host.open.values():
                 if link.open:
-                    pair = list(islice(self.walk(link), 2))
-                    groups.setdefault((pair.index(host) if host in pair else -1, self.spot(link)), []).append(
+                    pair, _ = self.pair(now, link, self.walk(link))
+                    groups.setdefault((pair.index(host) if host in pair else -1, self.kin(link)), []).append(
                         link
                     )
             # A share of the fleet's links goes only if a node with few of them moves none in most rounds:
@@ -565,9 +602,11 @@
                 # A slowdown of everything is not cured by moving, unless it is the strays that cause it.
                 if room <= 0 or (place >= 0 and 2 * len(slow) > len(ready)):
                     break
-                if place < 0 or any(self.fit(now, other) for other in islice(self.walk(members[0]), 2)):
+                if place < 0 or any(
+                    self.fit(now, h) for h in self.pair(now, members[0], self.walk(members[0]))[0]
+                ):
                     moved += members[:room]
                     room -= len(members)
         for link in moved:
-            self.hosts[link.host].remove(link)
+            self.remove(self.hosts[link.host], link)
         return [link.number for link in moved]
