Credit a link only once it has stood a second

Cause: hosts over capacity let a link stand and drop it within a third of a second; each such set-up halved the rest.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -51,6 +51,7 @@
 LONGEST_REST_US = 6 * SECOND  # rests double up to this: a host that has returned is found within it
 HOLD_US = 50_000  # a link that no host may have now is looked at again after this
 BACK_US = 200_000  # the least wait advised to a shed client: longer than one round of further tries
+SETTLE_US = SECOND  # a link has to stand so long to count as a success: hosts drop new links within that
 MANY = 8  # outcomes over all hosts by which the node judges what all setups depend on
 NODE_REST_US = 20_000  # first pause between two setup tries of a node when most fail everywhere
 LONGEST_NODE_REST_US = 1 * SECOND  # the longest: a few tries a second find out when it is over
@@ -156,6 +157,7 @@
         self.hosts: dict[int, Host] = {}
         self.groups: Counter[int] = Counter()  # own open links of each group
         self.held = 0  # own open links
+        self.settling: deque[Link] = deque()  # links that have just come to stand, oldest first
         self.ring: list[tuple[int, int]] = []  # its points in order, and the host of each
         self.look_at = 0  # when a host may next have something due
         self.pace = Pace(MANY, NODE_REST_US, LONGEST_NODE_REST_US)
@@ -172,6 +174,7 @@
         """The host for a link; or not yet; or its final answer."""
         if link.out or link.open:
             return Answer(DONE)
+        self.settle(now)
         # A link held too long would miss its final answer: it gets it while there is still time.
         if now + HOLD_US >= link.cut_off or link.tries >= self.terms.most_tries:
             return self.final(now, link)
@@ -440,10 +443,9 @@
         """After an outcome of the link's setup try; done: the client has its final answer already."""
         host = self.hosts[link.host]
         if what is Outcome.STANDS:
-            link.open, link.out = True, False
+            link.open, link.out, link.stood_at = True, False, now
             host.unreached = False
-            host.judge(now, True)
-            self.pace.judge(now, True)
+            self.settling.append(link)
             return Answer(DONE)
         self.look_at = now
         # Refused, failed or dropped: no longer counted, or the host would look busier than it is.
@@ -456,13 +458,26 @@
         elif not link.open and what is not Outcome.UNSENT and what is not Outcome.CANCELLED:
             host.unreached = what is Outcome.UNREACHED
             host.judge(now, what is Outcome.ENDED)
-        if not link.open and what in TELLING:
+        if what in TELLING and not (link.open and self.settled(now, link)):
             self.pace.judge(now, what is Outcome.ENDED)
         if what not in NEVER_RAN and link.ran_at < 0:
             link.ran_at, link.ran_host = link.sent_at, host.number
         link.out = link.open = False
         return Answer(DONE) if done else self.place(now, link)
 
+    def settled(self, now: int, link: Link) -> bool:
+        return now >= link.stood_at + SETTLE_US
+
+    def settle(self, now: int) -> None:
+        """Credit the links that have stood for a while."""
+        # A host over its capacity lets links stand and drops them at once: were that a success, every node
+        # would go on setting up links there as fast as they are dropped.
+        while self.settling and self.settled(now, self.settling[0]):
+            link = self.settling.popleft()
+            if link.open:
+                self.hosts[link.host].judge(now, True)
+                self.pace.judge(now, True)
+
     # What the node observes.
 
     def hosts_listed(self, now: int, lines: Iterable[Listed], whole: bool, asked: bool) -> None:
--- a/larchlatch/links.py
+++ b/larchlatch/links.py
@@ -94,6 +94,7 @@
     out: bool = False  # a setup try is out
     open: bool = False  # the link stands on its host
     sent_at: int = 0
+    stood_at: int = 0  # when it came to stand
     ran_at: int = -1  # when the first try that may have run was sent; -1: none may have
     ran_host: int = -1
 
