--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -49,6 +49,7 @@
 REST_US = 100_000  # first rest of a host after a failure: a full queue has moved on by then
 DROP_REST_US = 1 * SECOND  # and after it dropped a link that stood: piled-up work takes longer
 LONGEST_REST_US = 6 * SECOND  # rests double up to this: a host that has returned is found within it
+TRIAL_US = 250_000  # a host that drops links is tried by all nodes together no more than about once in this
 HOLD_US = 50_000  # a link that no host may have now is looked at again after this
 BACK_US = 200_000  # the least wait advised to a shed client: longer than one round of further tries
 SETTLE_US = SECOND  # a link has to stand so long to count as a success: hosts drop new links within that
@@ -83,22 +84,23 @@
         self.longest = longest
         self.rest = 0  # above 0: on probation, a try only once in so long
         self.rest_until = 0
+        self.rested_at = -1  # when it was last doubled
 
-    def judge(self, now: int, good: bool) -> None:
+    def judge(self, now: int, good: bool, sent_at: int) -> None:
         self.recent.append(good)
         if not good and 2 * sum(self.recent) < len(self.recent):
-            self.relieve(now, self.first)
+            self.relieve(now, sent_at, self.first, self.longest)
         elif good:
             # Each success halves the wait: what comes back after a failure must not come back all at once.
             self.rest = self.rest // 2 if self.rest >= 2 * self.first else 0
             self.rest_until = min(self.rest_until, now + self.rest)
 
-    def relieve(self, now: int, least: int) -> None:
-        """Rest; twice as long each time that a try fails again after a rest."""
-        if now >= self.rest_until:
-            self.rest = min(self.longest, max(least, 2 * self.rest))
-        elif self.rest < least:
-            self.rest = least
+    def relieve(self, now: int, sent_at: int, least: int, longest: int) -> None:
+        """Rest; twice as long each time that a try fails which was sent after the last such failure."""
+        if sent_at >= self.rested_at:
+            self.rest = min(longest, max(least, 2 * self.rest))
+            self.rested_at = now
+        self.rest = max(self.rest, least)
         self.rest_until = max(self.rest_until, now + self.rest)
 
 
@@ -452,14 +454,15 @@
         self.remove(host, link)
         if what is Outcome.CUT:
             self.overdriven(now, host)
-            host.relieve(now, DROP_REST_US)
+            # Every node tries it again after its own rest: what is slow for one is a crowd from hundreds.
+            host.relieve(now, link.sent_at, DROP_REST_US, max(host.longest, TRIAL_US * self.terms.nodes))
         elif what is Outcome.REFUSED:
-            host.relieve(now, REST_US)
+            host.relieve(now, link.sent_at, REST_US, host.longest)
         elif not link.open and what is not Outcome.UNSENT and what is not Outcome.CANCELLED:
             host.unreached = what is Outcome.UNREACHED
-            host.judge(now, what is Outcome.ENDED)
+            host.judge(now, what is Outcome.ENDED, link.sent_at)
         if what in TELLING and not (link.open and self.settled(now, link)):
-            self.pace.judge(now, what is Outcome.ENDED)
+            self.pace.judge(now, what is Outcome.ENDED, link.sent_at)
         if what not in NEVER_RAN and link.ran_at < 0:
             link.ran_at, link.ran_host = link.sent_at, host.number
         link.out = link.open = False
@@ -475,8 +478,8 @@
         while self.settling and self.settled(now, self.settling[0]):
             link = self.settling.popleft()
             if link.open:
-                self.hosts[link.host].judge(now, True)
-                self.pace.judge(now, True)
+                self.hosts[link.host].judge(now, True, link.sent_at)
+                self.pace.judge(now, True, link.sent_at)
 
     # What the node observes.
 
@@ -524,7 +527,7 @@
         host = self.hosts[number]
         host.unreached = not answered
         if not answered or host.rest:
-            host.judge(now, answered)
+            host.judge(now, answered, host.probed_at)
         if x0 is not None:
             host.x0, host.x0_at = x0, now
 
