No credit for a link on a host that is slow by then: nodes pace themselves in wide trouble

Ruled out: the store (set-ups took 0.1 s), groups strewn about (their places halved within 5 s), restarts and the list (none in the change log).

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -478,8 +478,10 @@
         while self.settling and self.settled(now, self.settling[0]):
             link = self.settling.popleft()
             if link.open:
-                self.hosts[link.host].judge(now, True, link.sent_at)
-                self.pace.judge(now, True, link.sent_at)
+                host = self.hosts[link.host]
+                good = now >= host.slow_until
+                host.judge(now, good, link.stood_at)
+                self.pace.judge(now, good, link.stood_at)
 
     # What the node observes.
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -248,3 +248,25 @@
     small = Ground(hosts=60)
     keys = [7 if number % 40 == 0 else number + 100 for number in range(161)]
     assert len({link.host for link in map(small.arrive, keys) if link.key == 7}) <= 3
+
+
+def test_links_that_stand_only_to_be_dropped_or_to_stand_late_are_no_success() -> None:
+    """Hosts over capacity let links stand: credited for that, nodes would feed the storm at full speed."""
+    for late in (False, True):
+        ground = Ground(hosts=40)
+        tried = 0
+        for key in range(1, 60):
+            link = ground.arrive(key=key, cut_off=4 * SECOND)
+            if link.number in ground.out:
+                tried += 1
+                ground.end(link, Outcome.STANDS)
+                if late:
+                    ground.brain.delay_note(ground.now, link, 900_000)
+                else:
+                    ground.now += 100_000
+                    ground.end(link, Outcome.CUT)
+                    ground.up.discard(link.number)
+            ground.now += 150_000
+            ground.links.clear()
+            ground.held.clear()
+        assert tried < 40
