--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -118,7 +118,6 @@
         self.wanted = False  # a link waits to know its load
         self.unreached = False  # the last outcome was no connection at all
         self.slow_until = 0
-        self.delay_us = 0  # what a message took there by the last note, while it is slow
         self.move_at = 0
         self.x0 = 0.0
         self.x0_at = -STALE_US
@@ -547,15 +546,11 @@
         """What a message takes on this link's host now."""
         host = self.hosts[link.host]
         if self.strictest and delay_us > NEAR * self.strictest:
-            # A host that works off what has piled up needs time alone: links moved meanwhile are moved in vain.
-            if delay_us < host.delay_us:
-                host.move_at = now + MOVE_US
-            host.delay_us = delay_us
             host.slow_until = now + SLOW_US
             self.look_at = now
             self.overdriven(now, host)
         else:
-            host.slow_until = host.delay_us = 0
+            host.slow_until = 0
 
     def standing(self, now: int, link: Link, number: int) -> None:
         """A link that stood on a host before this node started."""
