Move more links off a host the later its messages are, up to four times the share

Cause: a tenth a second leaves a host that has seconds of work piled up late for ten seconds and more.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -64,6 +64,7 @@
 MOVE_US = SECOND  # between two rounds of moves off a slow host: the next note tells what the last ones did
 MOVE_SHARE = 0.1  # of a slow host's own links in one round: a host just over the edge comes back in one
 PRIOR = 8.0  # links at the mean counted with a host's own: small counts differ by so much by chance
+MOST_LATE = 4.0  # times that share at the most, for a host whose messages take so many wanted times
 TIE = 1.2  # the master must be so many times as loaded as the second for that to be chosen
 HOT = 2.0  # times the mean load above which both candidates count as crowded
 PROBE_US = 2 * SECOND  # a probed load serves this long: about as long as load takes to shift between hosts
@@ -118,6 +119,7 @@
         self.wanted = False  # a link waits to know its load
         self.unreached = False  # the last outcome was no connection at all
         self.slow_until = 0
+        self.late = 1.0  # what a message took there by the last note, in wanted message times
         self.move_at = 0
         self.x0 = 0.0
         self.x0_at = -STALE_US
@@ -547,6 +549,7 @@
         host = self.hosts[link.host]
         if self.strictest and delay_us > NEAR * self.strictest:
             host.slow_until = now + SLOW_US
+            host.late = min(MOST_LATE, max(1.0, delay_us / self.strictest))
             self.look_at = now
             self.overdriven(now, host)
         else:
@@ -617,7 +620,7 @@
                     )
             # A share of the fleet's links goes only if a node with few of them moves none in most rounds:
             # one at least from each of hundreds of nodes empties the host and fills the next, on and on.
-            room = int(MOVE_SHARE * len(host.open) + self.uniform(0, 1))
+            room = int(MOVE_SHARE * host.late * len(host.open) + self.uniform(0, 1))
             for (place, _), members in sorted(groups.items()):
                 # A slowdown of everything is not cured by moving, unless it is the strays that cause it.
                 if room <= 0 or (place >= 0 and 2 * len(slow) > len(ready)):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -270,3 +270,16 @@
             ground.links.clear()
             ground.held.clear()
         assert tried < 40
+
+
+def test_more_links_are_moved_the_later_a_host_is() -> None:
+    """A host with seconds of work piled up keeps all its links late while a tenth of them leaves."""
+    moved = []
+    for delay in (51_000, 900_000):
+        ground = Ground(hosts=6)
+        links = [ground.arrive(key=key) for key in range(1, 300)]
+        for link in links:
+            ground.end(link, Outcome.STANDS)
+        ground.brain.delay_note(ground.now, links[0], delay)
+        moved.append(len(ground.brain.wait(ground.now).moves))
+    assert 2 * moved[0] < moved[1] <= 30
