--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -43,7 +43,7 @@
 # Outcomes that tell of what all setups depend on; no connection tells of one host or its links alone.
 TELLING = frozenset({Outcome.ENDED, Outcome.REFUSED, Outcome.FAULT, Outcome.SILENT, Outcome.CUT})
 
-TOKENS = 20  # ring points for a host of size 1: with a few cores each, arcs then differ by about an eighth
+TOKENS = 64  # ring points for a host of size 1: arcs then differ by about an eighth
 MOST_TOKENS = 1024  # ring points, whatever the size: keeps a rebuild under a few milliseconds
 FEW = 3  # outcomes by which a host is judged: two failures in a row tell, one does not
 REST_US = 100_000  # first rest of a host after a failure: a full queue has moved on by then
