--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -43,8 +43,9 @@
 # Outcomes that tell of what all setups depend on; no connection tells of one host or its links alone.
 TELLING = frozenset({Outcome.ENDED, Outcome.REFUSED, Outcome.FAULT, Outcome.SILENT, Outcome.CUT})
 
-TOKENS = 64  # ring points for a host of size 1: arcs then differ by about an eighth
-MOST_TOKENS = 1024  # ring points, whatever the size: keeps a rebuild under a few milliseconds
+LOW = 0xFFFF  # low bits of a point on the ring that hold its host: more hosts than any node lists
+TOKENS = 32  # ring points for a host of size 1: arcs then differ by about an eighth, for sizes are two to six
+MOST_TOKENS = 512  # ring points, whatever the size: keeps a rebuild under a few milliseconds
 FEW = 3  # outcomes by which a host is judged: two failures in a row tell, one does not
 REST_US = 100_000  # first rest of a host after a failure: a full queue has moved on by then
 DROP_REST_US = 1 * SECOND  # and after it dropped a link that stood: piled-up work takes longer
@@ -111,6 +112,7 @@
     def __init__(self, line: Listed) -> None:
         super().__init__(FEW, REST_US, LONGEST_REST_US)
         self.number = line.host
+        self.tokens = 0  # its points on the ring
         self.open: dict[int, Link] = {}  # own links that stand there or are being set up
         self.known_load = 0.0  # sum of those links' loads where known, and the count of the others
         self.unknown = 0
@@ -140,10 +142,10 @@
             self.known_load -= link.load
             self.unknown -= not link.load
 
-    def spots(self, tokens: int) -> list[int]:
+    def spots(self) -> list[int]:
         """Its points on the ring."""
         name = self.name.encode()
-        return [xxh3_64_intdigest(name, token) for token in range(tokens)]
+        return [xxh3_64_intdigest(name, token) for token in range(self.tokens)]
 
     def follow(self, line: Listed) -> None:
         """Take over what the list says."""
@@ -162,7 +164,7 @@
         self.groups: Counter[int] = Counter()  # own open links of each group
         self.held = 0  # own open links
         self.settling: deque[Link] = deque()  # links that have just come to stand, oldest first
-        self.ring: list[tuple[int, int]] = []  # its points in order, and the host of each
+        self.ring: list[int] = []  # its points in order, each with its host's number in the low bits
         self.look_at = 0  # when a host may next have something due
         self.pace = Pace(MANY, NODE_REST_US, LONGEST_NODE_REST_US)
         self.noted = 0.0  # running mean of noted loads
@@ -304,9 +306,9 @@
         """The distinct ready hosts clockwise from the link's key."""
         # Nearly every link needs the first two alone: a large fleet must not be walked round for each.
         ring, seen = self.ring, set()
-        start = bisect_right(ring, (self.spot(link), len(self.hosts)))
+        start = bisect_right(ring, self.spot(link))
         for place in range(start - len(ring), start):
-            number = ring[place][1]
+            number = ring[place] & LOW
             if number not in seen:
                 seen.add(number)
                 if self.hosts[number].state is State.READY:
@@ -490,7 +492,6 @@
     def hosts_listed(self, now: int, lines: Iterable[Listed], whole: bool, asked: bool) -> None:
         """A list, or the changes to it."""
         lines = list(lines)
-        before = self.shares()
         for line in lines:
             if line.host in self.hosts:
                 self.hosts[line.host].follow(line)
@@ -503,17 +504,24 @@
                     host.state = State.GONE
         if asked and self.terms.asked_list:
             self.listening, self.asking, self.ask_gap = True, False, ASK_US
-        # Only what came or went is hashed and only then is the ring touched: with a large fleet and a list
-        # every second, building it anew each time costs more than all placements.
-        after = self.shares()
-        if after != before:
-            lost = {number for number, _ in before - after}
-            new = [(spot, number) for number, n in after - before for spot in self.hosts[number].spots(n)]
-            self.ring = sorted([*(entry for entry in self.ring if entry[1] not in lost), *new])
-
-    def shares(self) -> set[tuple[int, int]]:
-        """The hosts on the ring, each with its number of points."""
-        return {(h.number, self.tokens(h)) for h in self.hosts.values() if h.state is not State.GONE}
+        listed = [host for line in lines if (host := self.hosts[line.host]).state is not State.GONE]
+        came = [host for host in listed if host.tokens != self.tokens(host)]
+        if came:
+            self.reshape(came)
+
+    def reshape(self, came: list[Host]) -> None:
+        """The ring with these hosts, and without those gone."""
+        # Walks pass over the gone, so that the ring is touched, and hashed, for newcomers alone: building it
+        # anew for each list, on hundreds of nodes, costs more than all placements.
+        off = {host.number for host in came}
+        off |= {host.number for host in self.hosts.values() if host.state is State.GONE}
+        ring = [spot for spot in self.ring if spot & LOW not in off]
+        for number in off:
+            self.hosts[number].tokens = 0
+        for host in came:
+            host.tokens = self.tokens(host)
+            ring += [spot & ~LOW | host.number for spot in host.spots()]
+        self.ring = sorted(ring)
 
     def tokens(self, host: Host) -> int:
         """Ring points of a host; its own line alone sets them, so that a change remaps locally."""
