Pace a node's setups while most of the hosts that hold its links are slow

A node holds links on a few of the hosts and takes the others for fit, so its pair rule never held them back.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -560,6 +560,11 @@
             host.late = min(MOST_LATE, max(1.0, delay_us / self.strictest))
             self.look_at = now
             self.overdriven(now, host)
+            # Where most hosts that a node can judge are slow, what it moves off one fills the next: links
+            # have to come in more slowly than they go until the hosts have worked off what has piled up.
+            bearing = [h for h in self.hosts.values() if h.open]
+            if 2 * sum(now < h.slow_until for h in bearing) > len(bearing) > 1:
+                self.pace.judge(now, False, now)
         else:
             host.slow_until = 0
 
