--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -57,6 +57,7 @@
 MANY = 8  # outcomes over all hosts by which the node judges what all setups depend on
 NODE_REST_US = 20_000  # first pause between two setup tries of a node when most fail everywhere
 LONGEST_NODE_REST_US = 1 * SECOND  # the longest: a few tries a second find out when it is over
+ENTRY_US = 2 * SECOND  # a rest by which all nodes together set up one link a host in this, when most are slow
 SLOW_US = 2 * SECOND  # a delay note counts this long: notes come once a second while it lasts
 STRAIN = 1.5  # what each second of drops or late messages multiplies a host's load by: two make it double
 MOST_STRAIN = 8.0  # and the most: a host never counts for less than an eighth of its size
@@ -564,6 +565,9 @@
             # have to come in more slowly than they go until the hosts have worked off what has piled up.
             bearing = [h for h in self.hosts.values() if h.open]
             if 2 * sum(now < h.slow_until for h in bearing) > len(bearing) > 1:
+                # All nodes together then set up about one link a host in this time.
+                ready = sum(host.state is State.READY for host in self.hosts.values())
+                self.pace.longest = max(LONGEST_NODE_REST_US, ENTRY_US * self.terms.nodes // max(1, ready))
                 self.pace.judge(now, False, now)
         else:
             host.slow_until = 0
