--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -66,7 +66,6 @@
 MOVE_US = SECOND  # between two rounds of moves off a slow host: the next note tells what the last ones did
 MOVE_SHARE = 0.1  # of a slow host's own links in one round: a host just over the edge comes back in one
 PRIOR = 8.0  # links at the mean counted with a host's own: small counts differ by so much by chance
-DRAIN_SHARE = 0.4  # of own links on a draining host in one round: few hosts drain for more than some seconds
 MOST_LATE = 4.0  # times that share at the most, for a host whose messages take so many wanted times
 TIE = 1.2  # the master must be so many times as loaded as the second for that to be chosen
 HOT = 2.0  # times the mean load above which both candidates count as crowded
@@ -504,7 +503,6 @@
             for host in self.hosts.values():
                 if host.number not in named:
                     host.state = State.GONE
-        self.look_at = now
         if asked and self.terms.asked_list:
             self.listening, self.asking, self.ask_gap = True, False, ASK_US
         listed = [host for line in lines if (host := self.hosts[line.host]).state is not State.GONE]
@@ -623,13 +621,6 @@
         ready = [host for host in self.hosts.values() if host.state is State.READY]
         slow = [host for host in ready if now < host.slow_until]
         moved: list[Link] = []
-        for host in self.hosts.values():
-            # What is left on a draining host when it stops comes back as one crowd, a second later.
-            if host.state is State.DRAINING and host.open:
-                if now >= host.move_at:
-                    host.move_at = now + MOVE_US
-                    moved += [k for k in host.open.values() if k.open and self.uniform(0, 1) < DRAIN_SHARE]
-                self.look_at = min(self.look_at, host.move_at)
         for host in slow:
             if now < host.move_at:
                 self.look_at = min(self.look_at, host.move_at)
