--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Iterable, Iterator
 from itertools import chain, islice
 from random import Random
@@ -67,6 +67,7 @@
 MOVE_SHARE = 0.1  # of a slow host's own links in one round: a host just over the edge comes back in one
 PRIOR = 8.0  # links at the mean counted with a host's own: small counts differ by so much by chance
 MOST_LATE = 4.0  # times that share at the most, for a host whose messages take so many wanted times
+LATELY = 64  # links by whose groups a node tells large groups: a twentieth of all shows among as many
 TIE = 1.2  # the master must be so many times as loaded as the second for that to be chosen
 HOT = 2.0  # times the mean load above which both candidates count as crowded
 PROBE_US = 2 * SECOND  # a probed load serves this long: about as long as load takes to shift between hosts
@@ -162,9 +163,9 @@
         self.terms = terms
         self.uniform = chance.uniform
         self.hosts: dict[int, Host] = {}
-        self.groups: Counter[int] = Counter()  # own open links of each group
-        self.held = 0  # own open links
         self.settling: deque[Link] = deque()  # links that have just come to stand, oldest first
+        # Of the last links, not of the open ones alone: one node of hundreds holds too few to tell by.
+        self.lately: deque[int] = deque(maxlen=LATELY)  # what the last links that came to stand were kin to
         self.ring: list[int] = []  # its points in order, each with its host's number in the low bits
         self.look_at = 0  # when a host may next have something due
         self.pace = Pace(MANY, NODE_REST_US, LONGEST_NODE_REST_US)
@@ -275,29 +276,13 @@
         # over and over. It spreads along the ring so that none gets more of it than a mean host bears in all,
         # each of its links with a pair of its own among these. Nodes that see it differ only in the last few.
         kin = self.kin(link)
-        share = self.groups[kin] / (self.held + PRIOR) if kin else 0.0
+        share = self.lately.count(kin) / (len(self.lately) + PRIOR) if kin else 0.0
         return max(2, int(share * sum(host.state is State.READY for host in self.hosts.values())))
 
     def kin(self, link: Link) -> int:
         """What a link shares a place on the ring with others by: its group, else its key; 0: nothing."""
         return (link.group if self.terms.grouped and link.group else link.key) or 0
 
-    def add(self, host: Host, link: Link) -> None:
-        """Count a link at a host."""
-        if link.number not in host.open:
-            host.add(link)
-            self.groups[self.kin(link)] += 1
-            self.held += 1
-
-    def remove(self, host: Host, link: Link) -> None:
-        if link.number in host.open:
-            host.remove(link)
-            kin = self.kin(link)
-            self.groups[kin] -= 1
-            if not self.groups[kin]:
-                del self.groups[kin]
-            self.held -= 1
-
     def spot(self, link: Link) -> int:
         """Where on the ring a link's group, else its key, lies; anywhere where it has neither."""
         kin = self.kin(link)
@@ -440,7 +425,7 @@
         # push over one that has just come back to its senses.
         host.rest_until = now + host.rest
         self.pace.rest_until = now + self.pace.rest
-        self.add(host, link)
+        host.add(link)
         link.host, link.out, link.sent_at = host.number, True, now
         link.tries += 1
 
@@ -453,10 +438,11 @@
             link.open, link.out, link.stood_at = True, False, now
             host.unreached = False
             self.settling.append(link)
+            self.lately.append(self.kin(link))
             return Answer(DONE)
         self.look_at = now
         # Refused, failed or dropped: no longer counted, or the host would look busier than it is.
-        self.remove(host, link)
+        host.remove(link)
         if what is Outcome.CUT:
             self.overdriven(now, host)
             # Every node tries it again after its own rest: what is slow for one is a crowd from hundreds.
@@ -577,12 +563,13 @@
         link.host, link.open = number, True
         if number not in self.hosts:  # a link may outlive its host's line in an old list
             self.hosts[number] = Host(Listed(number, "", -1, -1, State.GONE, 1.0, 0))
-        self.add(self.hosts[number], link)
+        self.hosts[number].add(link)
+        self.lately.append(self.kin(link))
 
     def left(self, now: int, link: Link) -> None:
         """The client is gone, or its link is no longer this node's."""
         if link.host >= 0:
-            self.remove(self.hosts[link.host], link)
+            self.hosts[link.host].remove(link)
 
     # How long to wait.
 
@@ -648,5 +635,5 @@
                     moved += members[:room]
                     room -= len(members)
         for link in moved:
-            self.remove(self.hosts[link.host], link)
+            self.hosts[link.host].remove(link)
         return [link.number for link in moved]
