--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -263,21 +263,21 @@
 
     def pair(self, now: int, link: Link, walk: Iterable[Host]) -> tuple[list[Host], list[Host]]:
         """The master and the second candidate on a walk, and the others that a large group spreads to."""
-        worth = int(self.worth(link))
-        pool = list(islice((host for host in walk if not self.absent(now, host)), max(2, worth)))
-        if worth > 1:
+        reach = self.reach(link)
+        pool = list(islice((host for host in walk if not self.absent(now, host)), reach))
+        if reach > 2:
             key = (link.key or 0) % 2**64
             pool.sort(key=lambda host: xxh3_64_intdigest(host.name.encode(), key))
         return pool[:2], pool[2:]
 
-    def worth(self, link: Link) -> float:
-        """How many mean hosts' worth of links a link's group has."""
-        # Two hosts cannot bear a group that makes up a tenth of a large fleet's links, nor one host a group
-        # of two's worth: they would drop them over and over. Such a group spreads along the ring so that none
-        # gets more of it than a mean host bears in all, each of its links with a pair of its own among these.
+    def reach(self, link: Link) -> int:
+        """Over how many hosts a link's group spreads."""
+        # Two hosts cannot bear a group that makes up a tenth of a large fleet's links: they would drop them
+        # over and over. It spreads along the ring so that none gets more of it than a mean host bears in all,
+        # each of its links with a pair of its own among these. Nodes that see it differ only in the last few.
         kin = self.kin(link)
         share = self.lately.count(kin) / (len(self.lately) + PRIOR) if kin else 0.0
-        return share * sum(host.state is State.READY for host in self.hosts.values())
+        return max(2, int(share * sum(host.state is State.READY for host in self.hosts.values())))
 
     def kin(self, link: Link) -> int:
         """What a link shares a place on the ring with others by: its group, else its key; 0: nothing."""
