--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -59,7 +59,6 @@
 LONGEST_NODE_REST_US = 1 * SECOND  # the longest: a few tries a second find out when it is over
 ENTRY_US = 2 * SECOND  # a rest by which all nodes together set up one link a host in this, when most are slow
 SLOW_US = 2 * SECOND  # a delay note counts this long: notes come once a second while it lasts
-BLIND_US = 6 * SECOND  # and this long once no own link is there to tell: as long as the longest rest
 STRAIN = 1.5  # what each second of drops or late messages multiplies a host's load by: two make it double
 MOST_STRAIN = 8.0  # and the most: a host never counts for less than an eighth of its size
 STRAIN_US = 20 * SECOND  # until that is forgotten: some link lives later, for its load has changed by then
@@ -443,7 +442,7 @@
             return Answer(DONE)
         self.look_at = now
         # Refused, failed or dropped: no longer counted, or the host would look busier than it is.
-        self.clear(now, host, link)
+        host.remove(link)
         if what is Outcome.CUT:
             self.overdriven(now, host)
             # Every node tries it again after its own rest: what is slow for one is a crowd from hundreds.
@@ -460,14 +459,6 @@
         link.out = link.open = False
         return Answer(DONE) if done else self.place(now, link)
 
-    def clear(self, now: int, host: Host, link: Link) -> None:
-        """No longer count a link at a host."""
-        host.remove(link)
-        # Without a link there no note will tell: a node with few links would call a slow host fit as soon as
-        # it has moved its last one off, and put the next one back.
-        if not host.open and now < host.slow_until:
-            host.slow_until = now + BLIND_US
-
     def settled(self, now: int, link: Link) -> bool:
         return now >= link.stood_at + SETTLE_US
 
@@ -578,7 +569,7 @@
     def left(self, now: int, link: Link) -> None:
         """The client is gone, or its link is no longer this node's."""
         if link.host >= 0:
-            self.clear(now, self.hosts[link.host], link)
+            self.hosts[link.host].remove(link)
 
     # How long to wait.
 
@@ -644,5 +635,5 @@
                     moved += members[:room]
                     room -= len(members)
         for link in moved:
-            self.clear(now, self.hosts[link.host], link)
+            self.hosts[link.host].remove(link)
         return [link.number for link in moved]
