--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -489,6 +489,9 @@
             for host in self.hosts.values():
                 if host.number not in named:
                     host.state = State.GONE
+        # However many nodes there are, all together then set up about one link a host in this time.
+        ready = sum(host.state is State.READY for host in self.hosts.values())
+        self.pace.longest = max(LONGEST_NODE_REST_US, ENTRY_US * self.terms.nodes // max(1, ready))
         if asked and self.terms.asked_list:
             self.listening, self.asking, self.ask_gap = True, False, ASK_US
         listed = [host for line in lines if (host := self.hosts[line.host]).state is not State.GONE]
@@ -551,9 +554,6 @@
             # have to come in more slowly than they go until the hosts have worked off what has piled up.
             bearing = [h for h in self.hosts.values() if h.open]
             if 2 * sum(now < h.slow_until for h in bearing) > len(bearing) > 1:
-                # All nodes together then set up about one link a host in this time.
-                ready = sum(host.state is State.READY for host in self.hosts.values())
-                self.pace.longest = max(LONGEST_NODE_REST_US, ENTRY_US * self.terms.nodes // max(1, ready))
                 self.pace.judge(now, False, now)
         else:
             host.slow_until = 0
