--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Iterable, Iterator
 from itertools import chain, islice
 from random import Random
@@ -121,7 +121,6 @@
         self.strain = 1.0  # above 1: it was short of capacity lately, at so much less than its size says
         self.strain_at = 0
         self.wanted = False  # a link waits to know its load
-        self.cut_at = -1  # when it last dropped a link that stood
         self.unreached = False  # the last outcome was no connection at all
         self.slow_until = 0
         self.late = 1.0  # what a message took there by the last note, in wanted message times
@@ -164,7 +163,6 @@
         self.terms = terms
         self.uniform = chance.uniform
         self.hosts: dict[int, Host] = {}
-        self.zones: defaultdict[int, Pace] = defaultdict(lambda: Pace(MANY, REST_US, LONGEST_REST_US))
         self.settling: deque[Link] = deque()  # links that have just come to stand, oldest first
         # Of the last links, not of the open ones alone: one node of hundreds holds too few to tell by.
         self.lately: deque[int] = deque(maxlen=LATELY)  # what the last links that came to stand were kin to
@@ -261,18 +259,7 @@
 
     def absent(self, now: int, host: Host) -> bool:
         """Whether no connection to a host can be had: it is as good as gone until its next trial."""
-        return now < self.zones[host.zone].rest_until or (host.unreached and now < host.rest_until)
-
-    def reached(self, now: int, host: Host, whether: bool, sent_at: int) -> None:
-        """Note whether anything was heard of a host."""
-        # Where a zone is cut off, learning it host by host costs a lost try for each of them, and there are
-        # dozens: when most of what was tried there of late found no host, all its hosts count as gone.
-        zone = self.zones[host.zone]
-        if whether:
-            zone.recent.append(True)
-            zone.rest = zone.rest_until = 0
-        elif host.zone != self.terms.zone:
-            zone.judge(now, False, sent_at)
+        return host.unreached and now < host.rest_until
 
     def pair(self, now: int, link: Link, walk: Iterable[Host]) -> tuple[list[Host], list[Host]]:
         """The master and the second candidate on a walk, and the others that a large group spreads to."""
@@ -438,7 +425,6 @@
         # push over one that has just come back to its senses.
         host.rest_until = now + host.rest
         self.pace.rest_until = now + self.pace.rest
-        self.zones[host.zone].rest_until = now + self.zones[host.zone].rest
         host.add(link)
         link.host, link.out, link.sent_at = host.number, True, now
         link.tries += 1
@@ -451,7 +437,6 @@
         if what is Outcome.STANDS:
             link.open, link.out, link.stood_at = True, False, now
             host.unreached = False
-            self.reached(now, host, True, link.sent_at)
             self.settling.append(link)
             self.lately.append(self.kin(link))
             return Answer(DONE)
@@ -459,10 +444,6 @@
         # Refused, failed or dropped: no longer counted, or the host would look busier than it is.
         host.remove(link)
         if what is Outcome.CUT:
-            # Links of several hosts of a zone dropped at one moment: the zone is cut off, not its hosts busy.
-            if any(h.cut_at == now and h.zone == host.zone for h in self.hosts.values() if h is not host):
-                self.reached(now, host, False, now)
-            host.cut_at = now
             self.overdriven(now, host)
             # Every node tries it again after its own rest: what is slow for one is a crowd from hundreds.
             host.relieve(now, link.sent_at, DROP_REST_US, max(host.longest, TRIAL_US * self.terms.nodes))
@@ -470,8 +451,6 @@
             host.relieve(now, link.sent_at, REST_US, host.longest)
         elif not link.open and what is not Outcome.UNSENT and what is not Outcome.CANCELLED:
             host.unreached = what is Outcome.UNREACHED
-            if host.unreached:
-                self.reached(now, host, False, link.sent_at)
             host.judge(now, what is Outcome.ENDED, link.sent_at)
         if what in TELLING and not (link.open and self.settled(now, link)):
             self.pace.judge(now, what is Outcome.ENDED, link.sent_at)
@@ -549,7 +528,6 @@
         """A probe's result."""
         host = self.hosts[number]
         host.unreached = not answered
-        self.reached(now, host, answered, host.probed_at)
         if not answered or host.rest:
             host.judge(now, answered, host.probed_at)
         if x0 is not None:
--- a/larchlatch/links.py
+++ b/larchlatch/links.py
@@ -63,7 +63,6 @@
 
     me: int
     nodes: int
-    zone: int  # this node's own; -1: not known
     tariffs: tuple[Tariff, ...]
     grouped: bool  # links of one group share work on a host
     sized: bool  # a listed size stays the same from list to list
--- a/larchlatch/wirehost/codec.py
+++ b/larchlatch/wirehost/codec.py
@@ -138,7 +138,7 @@
     rules = need(conf, "rules", dict, top)
     telemetry = need(conf, "telemetry", dict, top)
     domain = conf.get("domain") or {}
-    zones = need(conf, "areas", list, top)
+    need(conf, "areas", list, top)
     message_us = domain.get("message_aim_us") or []
     tariffs = []
     for place, entry in enumerate(need(conf, "tariffs", list, top)):
@@ -159,7 +159,6 @@
     return Terms(
         me=need(conf, "me", int, top),
         nodes=max(1, need(conf, "peers_total", int, top)),
-        zone=zones.index(conf["my_zone"]) if conf.get("my_zone") in zones else -1,
         tariffs=tuple(tariffs),
         grouped=bool(domain.get("groups")),
         sized=conf.get("weights") in ("nominal", "rough"),
--- a/tests/ground.py
+++ b/tests/ground.py
@@ -37,7 +37,6 @@
 TERMS = Terms(
     me=0,
     nodes=2,
-    zone=0,
     tariffs=TARIFFS,
     grouped=True,
     sized=True,
