--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -70,6 +70,7 @@
 LATELY = 64  # links by whose groups a node tells large groups: a twentieth of all shows among as many
 TIE = 1.2  # the master must be so many times as loaded as the second for that to be chosen
 HOT = 2.0  # times the mean load above which both candidates count as crowded
+FULL = 0.9  # probed load over capacity from which a host counts as crowded: messages are late soon after
 PROBE_US = 2 * SECOND  # a probed load serves this long: about as long as load takes to shift between hosts
 GLANCE_US = 25_000  # a new link waits this long for its candidates' probes: a round trip between zones
 STALE_US = 10 * SECOND  # a probed load older than this is forgotten
@@ -412,6 +413,8 @@
 
     def crowded(self, now: int, host: Host, mean: float) -> bool:
         """Whether a host bears far more of this node's links than the others: a hot key, or bad luck."""
+        if now < host.x0_at + PROBE_US and host.x0 > FULL:
+            return True
         return self.own(now, host, mean) > HOT
 
     def fit(self, now: int, host: Host) -> bool:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -302,3 +302,14 @@
             ground.brain.delay_note(ground.now, link, 400_000)
     sent = sum(ground.arrive(key=key).number in ground.out for key in range(100, 120))
     assert sent <= 1
+
+
+def test_a_link_passes_over_candidates_whose_probes_say_that_they_are_full() -> None:
+    """Both candidates full, the less loaded of them would only be late a little less."""
+    ground = Ground(nodes=200, probes=True, probe_tells_load=True)
+    link = ground.arrive(key=3)
+    full = ground.brain.wait(ground.now).probes
+    for number in full:
+        ground.brain.report(ground.now, number, True, 1.1)
+    ground.run(SECOND // 10)
+    assert ground.out[link.number] not in full
