--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -64,9 +64,9 @@
 STRAIN_US = 20 * SECOND  # until that is forgotten: some link lives later, for its load has changed by then
 NEAR = 0.34  # share of the strictest wanted message time above which a host counts as slow: notes start there
 MOVE_US = SECOND  # between two rounds of moves off a slow host: the next note tells what the last ones did
-MOVE_SHARE = 0.2  # of a slow host's own links in one round, while the other hosts are fit
+MOVE_SHARE = 0.1  # of a slow host's own links in one round: a host just over the edge comes back in one
 PRIOR = 8.0  # links at the mean counted with a host's own: small counts differ by so much by chance
-MOST_LATE = 3.0  # times that share at the most, for a host whose messages take so many wanted times
+MOST_LATE = 4.0  # times that share at the most, for a host whose messages take so many wanted times
 LATELY = 64  # links by whose groups a node tells large groups: a twentieth of all shows among as many
 TIE = 1.2  # the master must be so many times as loaded as the second for that to be chosen
 HOT = 2.0  # times the mean load above which both candidates count as crowded
@@ -610,9 +610,6 @@
         """Links to be moved off hosts whose messages have grown slow."""
         ready = [host for host in self.hosts.values() if host.state is State.READY]
         slow = [host for host in ready if now < host.slow_until]
-        bearing = [host for host in ready if host.open]
-        # Moved links help only where there is room for them: the fewer of its hosts are fit, the fewer go.
-        share = MOVE_SHARE * (1 + sum(host not in slow for host in bearing)) / (1 + len(bearing))
         moved: list[Link] = []
         for host in slow:
             if now < host.move_at:
@@ -630,7 +627,7 @@
                     )
             # A share of the fleet's links goes only if a node with few of them moves none in most rounds:
             # one at least from each of hundreds of nodes empties the host and fills the next, on and on.
-            room = int(share * host.late * len(host.open) + self.uniform(0, 1))
+            room = int(MOVE_SHARE * host.late * len(host.open) + self.uniform(0, 1))
             for (place, _), members in sorted(groups.items()):
                 # A slowdown of everything is not cured by moving, unless it is the strays that cause it.
                 if room <= 0 or (place >= 0 and 2 * len(slow) > len(ready)):
