--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -610,8 +610,6 @@
         """Links to be moved off hosts whose messages have grown slow."""
         ready = [host for host in self.hosts.values() if host.state is State.READY]
         slow = [host for host in ready if now < host.slow_until]
-        # Judged by the hosts that hold own links: one node of hundreds hears of no other.
-        wide = 2 * len(slow) > sum(bool(host.open) for host in ready)
         moved: list[Link] = []
         for host in slow:
             if now < host.move_at:
@@ -632,7 +630,7 @@
             room = int(MOVE_SHARE * host.late * len(host.open) + self.uniform(0, 1))
             for (place, _), members in sorted(groups.items()):
                 # A slowdown of everything is not cured by moving, unless it is the strays that cause it.
-                if room <= 0 or (place >= 0 and wide):
+                if room <= 0 or (place >= 0 and 2 * len(slow) > len(ready)):
                     break
                 if place < 0 or any(
                     self.fit(now, h) for h in self.pair(now, members[0], self.walk(members[0]))[0]
