--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -313,3 +313,17 @@
         ground.brain.report(ground.now, number, True, 1.1)
     ground.run(SECOND // 10)
     assert ground.out[link.number] not in full
+
+
+def test_odd_fleets_and_numbers_leave_every_link_with_its_answer() -> None:
+    """A list that empties and comes back, names hundreds at once, a node beyond the stated number."""
+    for hosts, me in ((0, 0), (1, 7), (300, 500)):
+        ground = Ground(hosts=hosts, me=me)
+        links = [ground.arrive(key=key) for key in (1, 2)]
+        ground.brain.hosts_listed(ground.now, [], whole=True, asked=True)
+        ground.lines = {number: line(number, State.GONE) for number in ground.lines}
+        links.append(ground.arrive(key=3))
+        ground.run(3 * SECOND)
+        assert not ground.links
+        ground.relist(*(line(number) for number in range(300)))
+        assert ground.arrive(key=4).number in ground.out
