--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -43,7 +43,7 @@
 # Outcomes that tell of what all setups depend on; no connection tells of one host or its links alone.
 TELLING = frozenset({Outcome.ENDED, Outcome.REFUSED, Outcome.FAULT, Outcome.SILENT, Outcome.CUT})
 
-LOW = 0xFFFF  # low bits of a point on the ring that hold its host: more hosts than any node lists
+LOW = 0xFFFFFF  # low bits of a point on the ring that hold its host: more hosts than a node meets in its life
 TOKENS = 32  # ring points for a host of size 1: arcs then differ by about an eighth, for sizes are two to six
 MOST_TOKENS = 512  # ring points, whatever the size: keeps a rebuild under a few milliseconds
 FEW = 3  # outcomes by which a host is judged: two failures in a row tell, one does not
