--- /dev/null
+++ b/larchlatch/__main__.py
@@ -0,0 +1,78 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from pathlib import Path
+
+import anyio
+import click
+import structlog
+
+from larchlatch import VERSION
+from larchlatch.node.lifecycle.plan import Plan, plan_of
+from larchlatch.node.lifecycle.run import node
+from larchlatch.terms import BadInput
+
+WHERE = click.option(
+    "--config",
+    envvar="EDGE_CONFIG",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="The configuration, a JSON file.  [env: EDGE_CONFIG]",
+)
+
+
+def read(path: Path) -> Plan:
+    """The configuration, or one line that says what is wrong with it, and exit code 2."""
+    try:
+        return plan_of(path)
+    except BadInput as error:
+        click.echo(f"larchlatch: {error}", err=True)
+        sys.exit(2)
+
+
+@click.group()
+def cli() -> None:
+    """A balancer for long-lived connections."""
+
+
+@cli.command()
+@WHERE
+@click.option("--verbose", is_flag=True, help="Log what befalls single connections, too.")
+def serve(config: Path, verbose: bool) -> None:
+    """Run one node until SIGTERM; SIGUSR1 prints its counters."""
+    plan = read(config)
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG if verbose else logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(),
+    )
+    anyio.run(node, plan)
+
+
+@cli.command()
+@WHERE
+def check(config: Path) -> None:
+    """Read a configuration and say what is wrong with it."""
+    plan = read(config)
+    click.echo(
+        f"{plan.name}: in order; {len(plan.known.members)} hosts known, {len(plan.tariffs)} tariffs, "
+        f"{len(plan.zones)} zones"
+    )
+
+
+@cli.command()
+def version() -> None:
+    """Print the version."""
+    click.echo(VERSION)
+
+
+if __name__ == "__main__":
+    cli()
--- /dev/null
+++ b/larchlatch/node/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration, start and stop."""
--- /dev/null
+++ b/larchlatch/node/lifecycle/plan.py
@@ -0,0 +1,103 @@
+"""The node's configuration: read, checked and given its defaults here, and nowhere else."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from larchlatch.links import Terms
+from larchlatch.node.peer import Reach
+from larchlatch.node.wire.catalog import Members, address_of, members_of
+from larchlatch.terms import NUMBER, BadInput, need, terms_of
+
+DIAL_US = 250_000  # where the settings name no time for connecting
+SOCKETS = 1024  # where no limit is named: what most systems grant a process
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What this node is to do, and with what."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    known: Members
+    terms: Terms
+    tariffs: list[str]
+    tenants: list[str]
+    zones: list[str]
+    reach: Reach
+    pushed: bool  # changes of the list are followed from the start
+    passes_through: bool  # a standing link outlives this node
+    longest_wait_us: int  # the longest cut-off of any tariff
+
+
+def plan_of(path: Path) -> Plan:
+    try:
+        raw = orjson.loads(path.read_bytes())
+    except OSError as error:
+        raise BadInput(f"configuration: can't be read ({error.strerror}: {path})") from None
+    except orjson.JSONDecodeError as error:
+        raise BadInput(f"configuration: no JSON ({error})") from None
+    if not isinstance(raw, dict):
+        raise BadInput("configuration: not an object")
+    return plan_from(raw)
+
+
+def plan_from(raw: dict[str, Any]) -> Plan:
+    top = "configuration"
+    settings = need(raw, "settings", dict, top)
+    terms = terms_of(settings, "settings")
+    domain = settings.get("domain") or {}
+    caps = settings["caps"]
+    seed = need(raw, "seed", (str, int), top)
+    try:
+        number = int(seed, 16) if isinstance(seed, str) else seed
+    except ValueError:
+        raise BadInput(f"{top}: seed is no hexadecimal number ({seed[:40]!r})") from None
+    limits = raw.get("limits") or {}
+    if not isinstance(limits, dict):
+        raise BadInput(f"{top}: limits is not an object")
+    known = raw.get("known")
+    return Plan(
+        name=need(raw, "name", str, top),
+        listen=address_of(need(raw, "listen", str, top), f"{top}: listen"),
+        discovery=address_of(need(raw, "discovery", str, top), f"{top}: discovery"),
+        seed=number,
+        sockets=need(limits, "sockets", int, f"{top}: limits") if "sockets" in limits else SOCKETS,
+        known=members_of(known, "known") if known is not None else Members(0, True, []),
+        terms=terms,
+        tariffs=names_of(settings["tariffs"], "tariffs"),
+        tenants=names_of(settings.get("tenants") or [], "tenants"),
+        zones=[str(zone) for zone in settings["areas"]],
+        reach=Reach(
+            dial_us=int(caps.get("dial_timeout_us") or DIAL_US),
+            probe_tells_load=terms.probe_tells_load,
+            tells_delay=bool(domain.get("tells_delay")),
+            strictest_us=min((t.message_us for t in terms.tariffs if t.message_us), default=0),
+        ),
+        pushed=not terms.asked_list,
+        passes_through=domain.get("mode") == "pass",
+        longest_wait_us=max(
+            (
+                int(need(entry, "cut_off_us", NUMBER, f"settings.tariffs[{place}]"))
+                for place, entry in enumerate(settings["tariffs"])
+            ),
+            default=0,
+        ),
+    )
+
+
+def names_of(rows: Any, item: str) -> list[str]:
+    names = []
+    for place, row in enumerate(rows):
+        where = f"settings.{item}[{place}]"
+        if not isinstance(row, dict):
+            raise BadInput(f"{where}: not an object")
+        names.append(need(row, "name", str, where))
+    return names
--- /dev/null
+++ b/larchlatch/node/listing.py
@@ -0,0 +1,75 @@
+"""The list's actor: what the node held first, then a watch on what changes."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+import anyio
+import h11
+import structlog
+
+from larchlatch.node.memory.counters import Counters
+from larchlatch.node.wire import catalog
+from larchlatch.node.words import ListFailed, ListTold, Post
+from larchlatch.terms import BadInput
+
+PATH = "/catalog/members"
+SILENCE_S = 5.0  # a watch says something every 2 s: twice missed, it is connected anew
+AGAIN_S = 0.25  # before connecting again: a list missed for long sends links to hosts that are gone
+
+log = structlog.get_logger()
+
+
+class Listing:
+    """Told to ask, it watches until the watch breaks off; then it says so, and asks again by itself
+    where the settings say that changes are pushed."""
+
+    def __init__(
+        self, address: tuple[str, int], revision: int, pushed: bool, counters: Counters, post: Post
+    ) -> None:
+        self.address = address
+        self.revision = revision
+        self.pushed = pushed
+        self.counters = counters
+        self.post = post
+        self.fresh = anyio.Event()  # the first word from discovery itself has come
+        self.sender, self.asks = anyio.create_memory_object_stream[None](1)
+
+    def ask(self) -> None:
+        with suppress(anyio.WouldBlock):  # one is waiting already
+            self.sender.send_nowait(None)
+
+    async def run(self) -> None:
+        if self.pushed:
+            self.ask()
+        async for _ in self.asks:
+            await self.watched()
+            await self.post(ListFailed())
+            if self.pushed:
+                await anyio.sleep(AGAIN_S)
+                self.ask()
+
+    async def watched(self) -> None:
+        """Follow the watch until it ends, whatever ends it."""
+        try:
+            first = True
+            async for told in catalog.watch(self.address, PATH, self.revision, SILENCE_S):
+                # A version left out, or one that runs back: what was missed would never be heard of.
+                gap = told.revision <= self.revision or (not first and told.revision > self.revision + 1)
+                if gap and not told.whole:
+                    told = await catalog.fetch(self.address, PATH, SILENCE_S)
+                first = False
+                self.revision = told.revision
+                self.counters.add("list whole" if told.whole else "list change")
+                await self.post(ListTold(told, asked=True))
+                self.fresh.set()
+        except BadInput as error:
+            # Nonsense from discovery is no list: the node works on with the one it has.
+            self.counters.add("list unreadable")
+            log.warning("list unreadable", why=str(error))
+        except (OSError, anyio.BrokenResourceError, anyio.EndOfStream, h11.RemoteProtocolError) as error:
+            self.counters.add("list lost")
+            log.info("list lost", why=repr(error))
+        except Exception:
+            self.counters.add("list lost")
+            log.exception("list lost")
--- /dev/null
+++ b/larchlatch/node/memory/hand.py
@@ -0,0 +1,51 @@
+"""A link in hand: what its client said, its one final answer, and how it stands."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import anyio
+
+from larchlatch.links import Link
+from larchlatch.node.wire.lines import Opening
+from larchlatch.node.wire.stream import Lines
+
+
+class Delivered(NamedTuple):
+    """The host's connection, and the line with which it took the link."""
+
+    host: Lines
+    line: bytes
+    peer: int
+
+
+class Shed(NamedTuple):
+    back_us: int
+
+
+class GivenUp(NamedTuple):
+    """No promise about its effect."""
+
+
+Verdict = Delivered | Shed | GivenUp
+
+
+class Hand:
+    def __init__(self, link: Link, opening: Opening) -> None:
+        self.link = link
+        self.opening = opening
+        self.verdict: Verdict | None = None
+        self.settled = anyio.Event()
+        self.gone = False  # the client has left, or its link is over
+        self.attempt: anyio.CancelScope | None = None  # the setup try that is out
+        self.move = anyio.Event()
+        self.silent = False  # moved because its host said nothing any more
+        self.asked_at = 0  # when the client sent the first line that has no answer yet; 0: none waits
+
+    def settle(self, verdict: Verdict) -> bool:
+        """The one final answer: False where there is one already, or nobody to take it."""
+        if self.verdict is not None or self.gone:
+            return False
+        self.verdict = verdict
+        self.settled.set()
+        return True
--- /dev/null
+++ b/larchlatch/node/module.py
@@ -0,0 +1,167 @@
+"""The module's actor: the one place that calls Brain. Its mailbox is drained, its answers carried out."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+import anyio
+import structlog
+from anyio.abc import TaskGroup
+
+from larchlatch import links
+from larchlatch.brain import Brain
+from larchlatch.links import Answer, Listed, Outcome, Terms
+from larchlatch.node import words
+from larchlatch.node.clock import now_us, seconds_until
+from larchlatch.node.listing import Listing
+from larchlatch.node.memory.counters import Counters
+from larchlatch.node.memory.hand import GivenUp, Hand, Shed
+from larchlatch.node.memory.room import Room
+from larchlatch.node.peer import Peer, Probe, Reach, Try
+from larchlatch.node.wire.catalog import Members
+
+MAILBOX = 1024  # words: when it is full, whoever reads from sockets waits
+
+log = structlog.get_logger()
+
+
+class Module:
+    def __init__(
+        self, terms: Terms, zones: list[str], seed: int, reach: Reach, room: Room, counters: Counters
+    ) -> None:
+        self.brain = Brain(terms, random.Random(seed))
+        self.zones = {name: place for place, name in enumerate(zones)}
+        self.reach = reach
+        self.room = room
+        self.counters = counters
+        self.numbers: dict[str, int] = {}  # hosts by name
+        self.peers: dict[int, Peer] = {}
+        self.hands: dict[int, Hand] = {}  # links in hand by number
+        self.held: list[tuple[int, int]] = []  # when to ask again, link
+        self.listing: Listing | None = None
+        self.peer_tasks: TaskGroup | None = None
+        self.sender, self.words = anyio.create_memory_object_stream[words.Word](MAILBOX)
+
+    async def post(self, word: words.Word) -> None:
+        # Shielded: an outcome lost on the way would leave its link without a final answer.
+        with anyio.CancelScope(shield=True):
+            await self.sender.send(word)
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            self.peer_tasks = tasks
+            for peer in self.peers.values():
+                tasks.start_soon(peer.run)
+            wake_at = now_us()
+            while True:
+                with anyio.move_on_after(seconds_until(wake_at)):
+                    self.hear(await self.words.receive())
+                while self.words.statistics().current_buffer_used:
+                    self.hear(self.words.receive_nowait())
+                wake_at = self.due()
+
+    def hear(self, word: words.Word) -> None:
+        try:
+            self.heard(now_us(), word)
+        except Exception:
+            # A fault in the decisions is told, never hidden; the link that it struck still gets its answer.
+            log.exception("the decisions failed", word=type(word).__name__)
+            self.counters.add("decisions failed")
+            if isinstance(word, words.Arrived | words.Tried):
+                word.hand.settle(GivenUp())
+
+    def heard(self, now: int, word: words.Word) -> None:
+        brain = self.brain
+        match word:
+            case words.Arrived(hand):
+                if not hand.gone:
+                    self.hands[hand.link.number] = hand
+                    self.carry_out(hand, brain.place(now, hand.link))
+            case words.Tried(hand, outcome, done):
+                if hand.link.number in self.hands:
+                    done = done or hand.gone  # its client has left: no further try may go out
+                    answer = brain.outcome(now, hand.link, outcome, done)
+                    if outcome is not Outcome.STANDS:
+                        if done:
+                            del self.hands[hand.link.number]
+                        else:
+                            self.carry_out(hand, answer)
+            case words.Stood(hand, host):
+                self.hands[hand.link.number] = hand
+                brain.standing(now, hand.link, host)
+            case words.Left(hand):
+                if self.hands.pop(hand.link.number, None) is not None:
+                    brain.left(now, hand.link)
+            case words.LoadNote(hand, load):
+                if hand.link.number in self.hands:
+                    brain.load_note(now, hand.link, load)
+            case words.DelayNote(hand, delay):
+                if hand.link.number in self.hands:
+                    brain.delay_note(now, hand.link, delay)
+            case words.Probed(host, answered, x0):
+                brain.report(now, host, answered, x0)
+            case words.ListTold(members, asked):
+                self.listed(now, members, asked)
+            case words.ListFailed():
+                brain.list_failed(now)
+
+    def carry_out(self, hand: Hand, answer: Answer) -> None:
+        # Never waited for: a peer that can't take it has sent nothing, which is an outcome like others.
+        while answer.host >= 0 and not self.peers[answer.host].order(Try(hand, answer.at)):
+            answer = self.brain.outcome(now_us(), hand.link, Outcome.UNSENT)
+        if answer.host >= 0:
+            self.counters.add("try sent")
+        elif answer.host == links.NOT_YET:
+            heapq.heappush(self.held, (answer.at, hand.link.number))
+        elif answer.host in (links.SHED, links.GIVEN_UP):
+            del self.hands[hand.link.number]
+            hand.settle(Shed(answer.at) if answer.host == links.SHED else GivenUp())
+
+    def due(self) -> int:
+        """Carry out what has fallen due; when to look again."""
+        now = now_us()
+        while self.held and self.held[0][0] <= now:
+            _, number = heapq.heappop(self.held)
+            hand = self.hands.get(number)
+            if hand is not None:
+                self.carry_out(hand, self.brain.place(now, hand.link))
+        due = self.brain.wait(now)
+        for host in due.probes:
+            if not self.peers[host].order(Probe()):
+                self.brain.report(now, host, False, None)
+        for number in due.moves:
+            self.counters.add("move due")
+            if number in self.hands:
+                self.hands[number].move.set()
+        if due.ask_list and self.listing is not None:
+            self.listing.ask()
+        return min(now + due.wait_us, self.held[0][0] if self.held else now + due.wait_us)
+
+    def number(self, name: str) -> int:
+        return self.numbers.setdefault(name, len(self.numbers))
+
+    def listed(self, now: int, told: Members, asked: bool) -> None:
+        for member in told.members:
+            number = self.number(member.name)
+            peer = self.peers.get(number)
+            if peer is not None:
+                peer.address = member.address
+                continue
+            peer = Peer(number, member.address, self.reach, self.room, self.counters, self.post)
+            self.peers[number] = peer
+            if self.peer_tasks is not None:
+                self.peer_tasks.start_soon(peer.run)
+        lines = [
+            Listed(
+                self.numbers[member.name],
+                member.name,
+                self.zones.get(member.zone, -1),
+                member.cell,
+                member.state,
+                member.size,
+                member.came_up,
+            )
+            for member in told.members
+        ]
+        self.brain.hosts_listed(now, lines, whole=told.whole, asked=asked)
--- /dev/null
+++ b/larchlatch/node/peer.py
@@ -0,0 +1,230 @@
+"""The actor of one host: its setup tries, its probes, and what the links that stand there show of it."""
+
+from __future__ import annotations
+
+import statistics
+from collections import deque
+from typing import NamedTuple
+
+import anyio
+import structlog
+from anyio.abc import TaskGroup
+
+from larchlatch.links import Outcome
+from larchlatch.node.clock import now_us, seconds_until
+from larchlatch.node.memory.counters import Counters
+from larchlatch.node.memory.hand import Delivered, GivenUp, Hand
+from larchlatch.node.memory.room import Room
+from larchlatch.node.wire import lines as say
+from larchlatch.node.wire.stream import Ending, Lines, Unconnected, connect
+from larchlatch.node.words import DelayNote, LoadNote, Post, Probed, Stood, Tried
+
+MAILBOX = 4096  # orders: a crowd of all clients of a node at one host
+BEAT_S = 0.25  # between two looks at what waits for an answer: short against the silence that counts
+NOTE_US = 1_000_000  # delay notes come once a second
+SILENT_US = 5_000_000  # no answer for so long: two seconds before a link has to be ended for it
+PROBE_S = 0.4  # a probe's answer takes a round trip; by then the next one is nearly due
+NOTED_SHARE = 3  # messages that take over a third of the strictest wanted time are told of
+
+log = structlog.get_logger()
+
+
+class Try(NamedTuple):
+    """A setup try, given up at `until`."""
+
+    hand: Hand
+    until: int
+
+
+class Probe(NamedTuple):
+    """A look at the host."""
+
+
+class Reach(NamedTuple):
+    """What the node's settings say of how hosts are reached and watched."""
+
+    dial_us: int
+    probe_tells_load: bool
+    tells_delay: bool
+    strictest_us: int  # the shortest time within which a message is wanted; 0 where unknown
+
+
+class Peer:
+    def __init__(
+        self, number: int, address: tuple[str, int], reach: Reach, room: Room, counters: Counters, post: Post
+    ) -> None:
+        self.number = number
+        self.address = address
+        self.reach = reach
+        self.room = room
+        self.counters = counters
+        self.post = post
+        self.standing: dict[int, Hand] = {}
+        self.delays: deque[tuple[int, int]] = deque(maxlen=256)  # when an answer came, what it took
+        self.noted_at = 0
+        self.told_slow = False
+        self.look: Lines | None = None  # the connection that probes go over
+        self.sender, self.orders = anyio.create_memory_object_stream[Try | Probe](MAILBOX)
+
+    def order(self, order: Try | Probe) -> bool:
+        """Put it into the mailbox; False where that is full: the module's actor never waits for a peer."""
+        try:
+            self.sender.send_nowait(order)
+        except anyio.WouldBlock:
+            return False
+        return True
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.beat)
+            async for order in self.orders:
+                self.carry_out(tasks, order)
+
+    def carry_out(self, tasks: TaskGroup, order: Try | Probe) -> None:
+        if isinstance(order, Probe):
+            tasks.start_soon(self.probe)
+        else:
+            tasks.start_soon(self.attempt, order.hand, order.until)
+
+    # Setup tries.
+
+    async def attempt(self, hand: Hand, until: int) -> None:
+        """One setup try, and its outcome told."""
+        outcome = Outcome.UNSENT
+        if not hand.gone:
+            with anyio.CancelScope() as scope:
+                outcome = Outcome.CANCELLED
+                hand.attempt = scope
+                try:
+                    outcome = await self.tried(hand, until)
+                except Exception:
+                    outcome = Outcome.FAULT  # how far it had come is not known: it may have run
+                    log.exception("a setup try failed")
+            hand.attempt = None
+        self.counters.add(f"try {outcome.name.lower()}")
+        if hand.opening.standing_at is None:
+            await self.post(Tried(hand, outcome, hand.verdict is not None))
+        elif outcome is Outcome.STANDS:
+            await self.post(Stood(hand, self.number))
+        else:
+            hand.settle(GivenUp())
+
+    async def tried(self, hand: Hand, until: int) -> Outcome:
+        # Without a descriptor nothing has left this node: the module may try again, whatever the tariff.
+        if not self.room.take():
+            return Outcome.UNSENT
+        host: Lines | None = None
+        kept = False
+        try:
+            within = min(self.reach.dial_us / 1e6, seconds_until(until))
+            made = await connect(self.address, within)
+            if isinstance(made, Unconnected):
+                return Outcome.UNSENT if made is Unconnected.NO_ROOM else Outcome.UNREACHED
+            host = made
+            with anyio.move_on_after(seconds_until(until)):
+                outcome = await self.asked(hand, host, until)
+                kept = outcome in (Outcome.STANDS, Outcome.ENDED)
+                return outcome
+            return Outcome.SILENT
+        finally:
+            # An answer that comes after this finds the connection closed: it can never reach the client.
+            if not kept:
+                if host is not None:
+                    await host.close()
+                self.room.give()
+
+    async def asked(self, hand: Hand, host: Lines, until: int) -> Outcome:
+        """What the host answers to the link's line."""
+        # Broken before the line's last byte was written: it can't have run.
+        if not await host.send(say.try_line(hand.opening, until - now_us())):
+            return Outcome.UNREACHED
+        while True:
+            line = await host.line()
+            if line is Ending.TOO_LONG:
+                return Outcome.FAULT
+            if isinstance(line, Ending):
+                return Outcome.CUT
+            match say.said_by_host(line):
+                case say.Load(load):
+                    await self.post(LoadNote(hand, load))
+                case say.Busy():
+                    return Outcome.REFUSED
+                case say.Moved():
+                    return Outcome.CANCELLED
+                case say.Up() | say.Bye() as said:
+                    if not hand.settle(Delivered(host, line, self.number)):
+                        return Outcome.CANCELLED
+                    return Outcome.STANDS if isinstance(said, say.Up) else Outcome.ENDED
+                case _:
+                    return Outcome.FAULT
+
+    # What standing links show.
+
+    def answered(self, hand: Hand) -> None:
+        """A line has come back on a standing link."""
+        if hand.asked_at:
+            now = now_us()
+            self.delays.append((now, now - hand.asked_at))
+            hand.asked_at = 0
+
+    async def beat(self) -> None:
+        while True:
+            await anyio.sleep(BEAT_S)
+            now = now_us()
+            for hand in self.standing.values():
+                # A host that has vanished resets nothing: its links would stay open and silent for good.
+                if hand.asked_at and now >= hand.asked_at + SILENT_US and not hand.silent:
+                    hand.silent = True
+                    hand.move.set()
+            if self.reach.tells_delay and self.reach.strictest_us and now >= self.noted_at + NOTE_US:
+                self.noted_at = now
+                await self.note(now)
+
+    async def note(self, now: int) -> None:
+        """What a message takes here now: told once a second while it is long, and once when it is over."""
+        if not self.standing:
+            return
+        took = [delay for at, delay in self.delays if at > now - NOTE_US]
+        edge = self.reach.strictest_us // NOTED_SHARE
+        waits = [now - hand.asked_at for hand in self.standing.values() if hand.asked_at]
+        took += [wait for wait in waits if wait > edge]
+        if not took:
+            return
+        delay = int(statistics.median(took))
+        if delay > edge or self.told_slow:
+            self.told_slow = delay > edge
+            self.counters.add("delay note")
+            await self.post(DelayNote(next(iter(self.standing.values())), delay))
+
+    # Probes.
+
+    async def probe(self) -> None:
+        answered, x0 = await self.probed()
+        self.counters.add("probe answered" if answered else "probe failed")
+        await self.post(Probed(self.number, answered, x0))
+
+    async def probed(self) -> tuple[bool, float | None]:
+        # The connection kept from the last probe may have died unseen: that says nothing of the host now.
+        for fresh in (self.look is None, True):
+            if self.look is None:
+                made = await connect(self.address, self.reach.dial_us / 1e6)
+                if isinstance(made, Unconnected):
+                    return False, None
+                self.look = made
+            look = self.look
+            said = await self.looked(look)
+            if isinstance(said, say.Pong):
+                return True, said.x0
+            self.look = None
+            await look.close()
+            if fresh or not isinstance(said, Ending):
+                break
+        return False, None
+
+    async def looked(self, look: Lines) -> say.Said | Ending | None:
+        with anyio.move_on_after(PROBE_S):
+            if not await look.send(say.STATS if self.reach.probe_tells_load else say.PING):
+                return Ending.RESET
+            line = await look.line()
+            return line if isinstance(line, Ending) else say.said_by_host(line)
+        return None
--- /dev/null
+++ b/larchlatch/node/wire/lines.py
@@ -0,0 +1,169 @@
+"""Lines of text, as clients and hosts speak them: each decoded once, encoded once."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+LONGEST = 4096  # bytes a line may have, its end included
+PING = b"PING\r\n"
+PONG = b"PONG\r\n"
+STATS = b"STATS\r\n"
+MOVE = b"MOVE\r\n"
+FAILED = b"FAIL\r\n"
+
+
+class BadLine(NamedTuple):
+    """A line that is not as the page says, and why."""
+
+    why: str
+
+
+class Ping(NamedTuple):
+    """The front asks whether this node serves."""
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """A client's first line."""
+
+    before: str  # the line up to the figure of d, and from behind it
+    behind: str
+    key: str
+    tariff: str
+    tenant: str | None
+    wait_ms: int
+    group: str | None
+    mid_flow: bool
+    standing_at: str | None  # the host at which it was open before
+    load: float
+
+
+def opening_of(line: bytes) -> Opening | Ping | BadLine:
+    if line.rstrip(b"\r\n") == b"PING":
+        return Ping()
+    try:
+        text = line.decode("utf-8").rstrip("\r\n")
+    except UnicodeDecodeError:
+        return BadLine("not UTF-8")
+    words = text.split(" ")
+    if len(words) != 4 or words[0] != "OPEN" or not words[1] or not words[2]:
+        return BadLine("not an OPEN line of four words")
+    values: dict[str, str] = {}
+    for item in words[3].split(","):
+        name, equals, value = item.partition("=")
+        if not equals or not name or not value:
+            return BadLine(f"{item[:40]!r} is no name with a value")
+        if name in values:
+            return BadLine(f"{name} stands twice")
+        values[name] = value
+    for name in ("c", "d"):
+        if name not in values:
+            return BadLine(f"{name} is missing")
+    if not (values["d"].isascii() and values["d"].isdigit() and 0 < len(values["d"]) <= 9):
+        return BadLine("d is no number of milliseconds")
+    for name in ("r", "again", "mid"):
+        if values.get(name, "1") not in ("0", "1"):
+            return BadLine(f"{name} is neither 0 nor 1")
+    load = number_of(values.get("h", "0"))
+    if load is None:
+        return BadLine("h is no number")
+    # The line goes on as it came but for d, which says how long this node will wait.
+    found = text.index(",d=") + 3 if ",d=" in text else text.index(" d=") + 3
+    return Opening(
+        before=text[:found],
+        behind=text[found + len(values["d"]) :],
+        key=words[2],
+        tariff=values["c"],
+        tenant=values.get("t"),
+        wait_ms=int(values["d"]),
+        group=values.get("g"),
+        mid_flow=values.get("mid") == "1",
+        standing_at=values.get("at"),
+        load=load,
+    )
+
+
+def try_line(opening: Opening, wait_us: int) -> bytes:
+    """The line that a setup try sends to its host."""
+    return f"{opening.before}{max(1, wait_us // 1000)}{opening.behind}\r\n".encode()
+
+
+def shed_line(back_us: int) -> bytes:
+    return f"BUSY {-(-back_us // 1000)}\r\n".encode() if back_us > 0 else b"BUSY\r\n"
+
+
+class Up(NamedTuple):
+    """The link stands."""
+
+
+class Bye(NamedTuple):
+    """Delivered to its end."""
+
+
+class Moved(NamedTuple):
+    """A draining host sends the client away."""
+
+
+class Fault(NamedTuple):
+    """The host failed at it."""
+
+
+class Busy(NamedTuple):
+    """Turned away unseen."""
+
+
+class Load(NamedTuple):
+    """The link's load as it is now, in microseconds of work a second."""
+
+    load: float
+
+
+class Pong(NamedTuple):
+    """A probe's answer, with the load over capacity where the host told it."""
+
+    x0: float | None
+
+
+class Other(NamedTuple):
+    """Any other line."""
+
+
+Said = Up | Bye | Moved | Fault | Busy | Load | Pong | Other
+PLAIN: dict[bytes, Said] = {
+    b"UP": Up(),
+    b"BYE": Bye(),
+    b"MOVE": Moved(),
+    b"ERR": Fault(),
+    b"BUSY": Busy(),
+}
+
+
+def said_by_host(line: bytes) -> Said:
+    word, _, rest = line.rstrip(b"\r\n").partition(b" ")
+    if word == b"LOAD":
+        load = number_of(rest.decode("latin-1"))
+        return Other() if load is None else Load(load)
+    if word == b"PONG":
+        return Pong(report_of(rest.decode("latin-1")).get("x0"))
+    return PLAIN.get(word, Other())
+
+
+def report_of(text: str) -> dict[str, float]:
+    """A load report's figures; what is no figure is passed over."""
+    report = {}
+    for item in text.split(","):
+        name, _, value = item.partition("=")
+        figure = number_of(value)
+        if figure is not None:
+            report[name] = figure
+    return report
+
+
+def number_of(text: str) -> float | None:
+    """A figure of at least 0; not nan, not endless."""
+    try:
+        figure = float(text)
+    except ValueError:
+        return None
+    return figure if 0 <= figure < 1e15 else None
--- /dev/null
+++ b/larchlatch/node/wire/stream.py
@@ -0,0 +1,113 @@
+"""A connection that is read and written by whole lines; how it ends is a value, never an exception."""
+
+from __future__ import annotations
+
+import errno
+import socket
+import struct
+from enum import Enum
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from larchlatch.node.wire.lines import LONGEST
+
+CHUNK = 16384  # bytes read at a time: many lines, and little memory for each of hundreds of links
+LINGER_S = 0.5  # how long the other side may take to end its half after this side has ended
+
+
+class Ending(Enum):
+    """How a connection ended, or why it can't go on."""
+
+    END = "end"
+    RESET = "reset"
+    TOO_LONG = "line too long"
+
+
+class Unconnected(Enum):
+    """Why there is no connection."""
+
+    UNREACHED = "unreached"
+    NO_ROOM = "no descriptor"
+
+
+class Lines:
+    """Both directions of one connection."""
+
+    def __init__(self, stream: SocketStream) -> None:
+        self.stream = stream
+        self.tail = b""  # what has come of a line that is still open
+        self.ready: list[bytes] = []  # whole lines that came with one asked for
+        self.spoken_to = False  # something has been sent
+
+    async def some(self) -> list[bytes] | Ending:
+        """The lines that are there, one at least."""
+        if self.ready:
+            lines, self.ready = self.ready, []
+            return lines
+        while True:
+            try:
+                chunk = await self.stream.receive(CHUNK)
+            except anyio.EndOfStream:
+                return Ending.END
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+                return Ending.RESET
+            # A line passes on only when it is whole: so what this node says itself falls between two lines.
+            lines = (self.tail + chunk).split(b"\n")
+            self.tail = lines.pop()
+            if len(self.tail) > LONGEST or any(len(line) >= LONGEST for line in lines):
+                return Ending.TOO_LONG
+            if lines:
+                return [line + b"\n" for line in lines]
+
+    async def line(self) -> bytes | Ending:
+        lines = await self.some()
+        if isinstance(lines, Ending):
+            return lines
+        self.ready = lines[1:]
+        return lines[0]
+
+    async def send(self, data: bytes) -> bool:
+        """Whether all of it was written."""
+        self.spoken_to = True
+        try:
+            await self.stream.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            return False
+        return True
+
+    async def finish(self, how: Ending) -> None:
+        """End it in this way."""
+        with anyio.CancelScope(shield=True):
+            if how is Ending.END:
+                # Closing with bytes unread would reset the other side, and what was just sent be lost to it.
+                with anyio.move_on_after(LINGER_S):
+                    try:
+                        await self.stream.send_eof()
+                        while True:
+                            await self.stream.receive(CHUNK)
+                    except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+                        pass
+            await self.close(reset=how is not Ending.END)
+
+    async def close(self, reset: bool = False) -> None:
+        with anyio.CancelScope(shield=True):
+            try:
+                if reset:
+                    raw = self.stream.extra(SocketAttribute.raw_socket)
+                    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                await self.stream.aclose()
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+                pass
+
+
+async def connect(address: tuple[str, int], within_s: float) -> Lines | Unconnected:
+    """A connection, or why there is none."""
+    try:
+        with anyio.fail_after(within_s):
+            return Lines(await anyio.connect_tcp(*address))
+    except TimeoutError:
+        return Unconnected.UNREACHED
+    except OSError as error:
+        causes = {getattr(e, "errno", None) for e in (error, error.__cause__)}
+        return Unconnected.NO_ROOM if causes & {errno.EMFILE, errno.ENFILE} else Unconnected.UNREACHED
--- /dev/null
+++ b/larchlatch/node/words.py
@@ -0,0 +1,66 @@
+"""What the actors tell the module's actor: plain values in its mailbox."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from larchlatch.links import Outcome
+from larchlatch.node.memory.hand import Hand
+from larchlatch.node.wire.catalog import Members
+
+
+class Arrived(NamedTuple):
+    """A client's link to be placed."""
+
+    hand: Hand
+
+
+class Stood(NamedTuple):
+    """A link that was open at a host before this node started."""
+
+    hand: Hand
+    host: int
+
+
+class Tried(NamedTuple):
+    """What became of a setup try, or of the link that it set up; done: the client needs no answer more."""
+
+    hand: Hand
+    outcome: Outcome
+    done: bool
+
+
+class Left(NamedTuple):
+    """The client has ended its link."""
+
+    hand: Hand
+
+
+class LoadNote(NamedTuple):
+    hand: Hand
+    load: float
+
+
+class DelayNote(NamedTuple):
+    hand: Hand
+    delay_us: int
+
+
+class Probed(NamedTuple):
+    host: int
+    answered: bool
+    x0: float | None
+
+
+class ListTold(NamedTuple):
+    members: Members
+    asked: bool
+
+
+class ListFailed(NamedTuple):
+    """The watch broke off or could not be had."""
+
+
+Word = Arrived | Stood | Tried | Left | LoadNote | DelayNote | Probed | ListTold | ListFailed
+Post = Callable[[Word], Awaitable[None]]
--- a/larchlatch/wirehost/loop.py
+++ b/larchlatch/wirehost/loop.py
@@ -14,8 +14,8 @@
 from larchlatch import links
 from larchlatch.brain import Brain
 from larchlatch.links import Answer, Link, Listed, Outcome
+from larchlatch.terms import BadInput, known, need, terms_of
 from larchlatch.wirehost import codec
-from larchlatch.wirehost.codec import BadInput
 
 log = logging.getLogger("larchlatch")
 
@@ -24,10 +24,10 @@
     """One node: its brain, the links in its hands and its timers; nothing is shared with another."""
 
     def __init__(self, seed: int, conf: dict[str, Any]) -> None:
-        self.terms = codec.terms_of(conf)
+        self.terms = terms_of(conf, "POWER_ON: conf")
         self.brain = Brain(self.terms, random.Random(seed))
         self.tariffs = {
-            codec.need(tariff, "name", str, "POWER_ON: conf.tariffs"): place
+            need(tariff, "name", str, "POWER_ON: conf.tariffs"): place
             for place, tariff in enumerate(conf["tariffs"])
         }
         self.zones = {name: place for place, name in enumerate(conf["areas"])}
@@ -89,7 +89,7 @@
                 brain.outcome(now, found, Outcome.STANDS)
         elif name == "ATTEMPT_END":
             handle, _, _, code, _, done, report = values
-            outcome = codec.known(code, codec.OUTCOMES, "ATTEMPT_END: state_code")
+            outcome = known(code, codec.OUTCOMES, "ATTEMPT_END: state_code")
             found = self.in_hand.get(handle)
             if found is not None:
                 answer = brain.outcome(now, found, outcome, done)
@@ -106,7 +106,7 @@
                 brain.delay_note(now, found, int(level * 1000))
         elif name == "ECHO":
             code, _, host, report = values
-            answered = codec.known(code, codec.OUTCOMES, "ECHO: state_code") == Outcome.ENDED
+            answered = known(code, codec.OUTCOMES, "ECHO: state_code") == Outcome.ENDED
             load = (report or {}).get("x0")
             brain.report(now, self.host(host), answered, None if load is None else float(load))
         elif name == "CLIENT_GONE":
@@ -137,7 +137,7 @@
                     host,
                     self.zones.get(hall, -1),
                     -1 if pack is None else pack,
-                    codec.known(state, codec.STATES, "INVENTORY: lifecycle"),
+                    known(state, codec.STATES, "INVENTORY: lifecycle"),
                     float(size) if size and size > 0 else 1.0,
                     came_up or 0,
                 )
@@ -175,10 +175,10 @@
     def part(self, now: int, part: Any) -> dict[str, Any] | None:
         if not isinstance(part, dict):
             raise BadInput("batch: a part is not an object")
-        who = codec.need(part, "i", str, "batch: part")
+        who = need(part, "i", str, "batch: part")
         touched = None
         try:
-            for raw in codec.need(part, "msgs", list, "batch: part"):
+            for raw in need(part, "msgs", list, "batch: part"):
                 name, values = codec.message(raw)
                 if name == "INVENTORY":
                     rows = [codec.checked(row, codec.LISTED, "INVENTORY: members") for row in values[1]]
@@ -211,8 +211,8 @@
             raise BadInput(f"batch: no JSON ({error})") from None
         if not isinstance(batch, dict):
             raise BadInput("batch: not an object")
-        now = codec.need(batch, "sim_time_us", int, "batch")
-        parts = [self.part(now, part) for part in codec.need(batch, "parts", list, "batch")]
+        now = need(batch, "sim_time_us", int, "batch")
+        parts = [self.part(now, part) for part in need(batch, "parts", list, "batch")]
         return orjson.dumps({"parts": [part for part in parts if part is not None]})
 
 
