--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -72,6 +72,7 @@
 HOT = 2.0  # times the mean load above which both candidates count as crowded
 FULL = 0.9  # probed load over capacity from which a host counts as crowded: messages are late soon after
 PROBE_US = 2 * SECOND  # a probed load serves this long: about as long as load takes to shift between hosts
+WATCH_US = 5 * SECOND  # a host with own links is probed so often: that costs little beside links served late
 GLANCE_US = 25_000  # a new link waits this long for its candidates' probes: a round trip between zones
 STALE_US = 10 * SECOND  # a probed load older than this is forgotten
 X0_WEIGHT = 0.5  # weight of probed load against own links for each node: it sees every node's
@@ -535,6 +536,9 @@
             host.judge(now, answered, host.probed_at)
         if x0 is not None:
             host.x0, host.x0_at = x0, now
+            # Asked for more than it can do, a host may answer at once and yet serve nobody in time.
+            if x0 > FULL and not self.terms.late_told:
+                self.slow(now, host, x0 / FULL)
 
     def load_note(self, now: int, link: Link, load: float) -> None:
         """A link's load as it is now, in microseconds of work a second."""
@@ -549,18 +553,22 @@
         """What a message takes on this link's host now."""
         host = self.hosts[link.host]
         if self.strictest and delay_us > NEAR * self.strictest:
-            host.slow_until = now + SLOW_US
-            host.late = min(MOST_LATE, max(1.0, delay_us / self.strictest))
-            self.look_at = now
-            self.overdriven(now, host)
-            # Where most hosts that a node can judge are slow, what it moves off one fills the next: links
-            # have to come in more slowly than they go until the hosts have worked off what has piled up.
-            bearing = [h for h in self.hosts.values() if h.open]
-            if 2 * sum(now < h.slow_until for h in bearing) > len(bearing) > 1:
-                self.pace.judge(now, False, now)
+            self.slow(now, host, delay_us / self.strictest)
         else:
             host.slow_until = 0
 
+    def slow(self, now: int, host: Host, late: float) -> None:
+        """A host's messages are late now, or about to be."""
+        host.slow_until = now + SLOW_US
+        host.late = min(MOST_LATE, max(1.0, late))
+        self.look_at = now
+        self.overdriven(now, host)
+        # Where most hosts that a node can judge are slow, what it moves off one fills the next: links
+        # have to come in more slowly than they go until the hosts have worked off what has piled up.
+        bearing = [h for h in self.hosts.values() if h.open]
+        if 2 * sum(now < h.slow_until for h in bearing) > len(bearing) > 1:
+            self.pace.judge(now, False, now)
+
     def standing(self, now: int, link: Link, number: int) -> None:
         """A link that stood on a host before this node started."""
         link.host, link.open = number, True
@@ -596,16 +604,25 @@
         return Due(wait, probes, ask, moves)
 
     def probes(self, now: int) -> list[int]:
-        """Hosts to be probed: a link waits to know its load, or it is on probation."""
-        wanting = [h for h in self.hosts.values() if h.state is State.READY and (h.wanted or h.rest)]
-        if not self.terms.probes or not wanting:
+        """Hosts to be probed: a link waits to know its load, it is on probation, or it is watched."""
+        if not self.terms.probes:
             return []
-        due = [host for host in wanting if now >= host.probed_at + PROBE_US]
+        gaps = {h: gap for h in self.hosts.values() if h.state is State.READY and (gap := self.probe_gap(h))}
+        due = [host for host, gap in gaps.items() if now >= host.probed_at + gap]
         for host in due:
             host.probed_at, host.wanted = now, False
-        self.look_at = min(self.look_at, min(host.probed_at for host in wanting) + PROBE_US)
+        self.look_at = min([self.look_at, *(host.probed_at + gap for host, gap in gaps.items())])
         return [host.number for host in due]
 
+    def probe_gap(self, host: Host) -> int:
+        """How long after the last probe the next one is wanted; 0 for never."""
+        if host.wanted or host.rest:
+            return PROBE_US
+        # Where load shows in no delay, a host that has filled up with links would keep them, and serve none.
+        if self.terms.probe_tells_load and not self.terms.late_told and host.open:
+            return PROBE_US if host.x0 > FULL else WATCH_US
+        return 0
+
     def moves(self, now: int) -> list[int]:
         """Links to be moved off hosts whose messages have grown slow."""
         ready = [host for host in self.hosts.values() if host.state is State.READY]
--- a/larchlatch/links.py
+++ b/larchlatch/links.py
@@ -69,6 +69,7 @@
     asked_list: bool
     probes: bool
     probe_tells_load: bool
+    late_told: bool  # a host that is late by its load shows in the delay of messages
     most_tries: int
     longest_return_us: int  # 0: clients take no advice
     ask_within_us: int
--- a/larchlatch/node/lifecycle/plan.py
+++ b/larchlatch/node/lifecycle/plan.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -52,7 +52,8 @@
 def plan_from(raw: dict[str, Any]) -> Plan:
     top = "configuration"
     settings = need(raw, "settings", dict, top)
-    terms = terms_of(settings, "settings")
+    # On sockets nobody tells the delay that a host's load makes: it answers lines at once as long as it runs.
+    terms = replace(terms_of(settings, "settings"), late_told=False)
     domain = settings.get("domain") or {}
     caps = settings["caps"]
     seed = need(raw, "seed", (str, int), top)
--- a/larchlatch/terms.py
+++ b/larchlatch/terms.py
@@ -69,6 +69,7 @@
         asked_list=need(conf, "discovery", str, top) == "on_request",
         probes=probes,
         probe_tells_load=probes and telemetry.get("via") != "none" and "x0" in fields,
+        late_told=bool(domain.get("tells_delay")),
         most_tries=need(caps, "most_setup_tries", int, f"{top}.caps"),
         longest_return_us=int(caps.get("max_retry_after_us") or 0) if caps.get("retry_after") else 0,
         ask_within_us=int(need(rules, "ask_within_us", NUMBER, f"{top}.rules")),
--- a/tests/ground.py
+++ b/tests/ground.py
@@ -51,6 +51,7 @@
     asked_list=False,
     probes=False,
     probe_tells_load=False,
+    late_told=True,
     most_tries=6,
     longest_return_us=1_500_000,
     ask_within_us=10 * SECOND,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -327,3 +327,27 @@
         assert not ground.links
         ground.relist(*(line(number) for number in range(300)))
         assert ground.arrive(key=4).number in ground.out
+
+
+def test_links_leave_a_host_that_only_probes_show_to_be_full() -> None:
+    """It answers at once and serves nobody in time: without a look now and then its links would stay."""
+    ground = Ground(probes=True, probe_tells_load=True, late_told=False)
+    links = []
+    for key in range(1, 60):
+        link = ground.arrive(key=key)
+        for number in ground.brain.wait(ground.now).probes:
+            ground.brain.report(ground.now, number, True, 0.4)
+        ground.run(SECOND // 5)
+        ground.end(link, Outcome.STANDS)
+        links.append(link)
+    full = links[0].host
+    there = [link for link in links if link.host == full]
+    moved: list[int] = []
+    for _ in range(100):
+        ground.run(SECOND // 10)
+        due = ground.brain.wait(ground.now)
+        for number in due.probes:
+            ground.brain.report(ground.now, number, True, 1.05 if number == full else 0.4)
+        moved += due.moves
+    assert len(moved) > len(there) // 3
+    assert {links[number].host for number in moved} == {full}
