--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -538,7 +538,8 @@
             host.x0, host.x0_at = x0, now
             # Asked for more than it can do, a host may answer at once and yet serve nobody in time.
             if x0 > FULL and not self.terms.late_told:
-                self.slow(now, host, x0 / FULL)
+                # It has to lose what it is over by, and a little more; then it is looked at again.
+                self.slow(now, host, 1 + (x0 - FULL) / MOVE_SHARE, MOVE_US)
 
     def load_note(self, now: int, link: Link, load: float) -> None:
         """A link's load as it is now, in microseconds of work a second."""
@@ -553,13 +554,13 @@
         """What a message takes on this link's host now."""
         host = self.hosts[link.host]
         if self.strictest and delay_us > NEAR * self.strictest:
-            self.slow(now, host, delay_us / self.strictest)
+            self.slow(now, host, delay_us / self.strictest, SLOW_US)
         else:
             host.slow_until = 0
 
-    def slow(self, now: int, host: Host, late: float) -> None:
+    def slow(self, now: int, host: Host, late: float, span: int) -> None:
         """A host's messages are late now, or about to be."""
-        host.slow_until = now + SLOW_US
+        host.slow_until = now + span
         host.late = min(MOST_LATE, max(1.0, late))
         self.look_at = now
         self.overdriven(now, host)
@@ -620,7 +621,7 @@
             return PROBE_US
         # Where load shows in no delay, a host that has filled up with links would keep them, and serve none.
         if self.terms.probe_tells_load and not self.terms.late_told and host.open:
-            return PROBE_US if host.x0 > FULL else WATCH_US
+            return MOVE_US if host.x0 > FULL else WATCH_US
         return 0
 
     def moves(self, now: int) -> list[int]:
