--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -71,6 +71,7 @@
 TIE = 1.2  # the master must be so many times as loaded as the second for that to be chosen
 HOT = 2.0  # times the mean load above which both candidates count as crowded
 FULL = 0.9  # probed load over capacity from which a host counts as crowded: messages are late soon after
+EDGE = 0.75  # probed load over capacity from which messages are late now and then: bursts find no room above
 PROBE_US = 2 * SECOND  # a probed load serves this long: about as long as load takes to shift between hosts
 WATCH_US = 5 * SECOND  # a host with own links is probed so often: that costs little beside links served late
 GLANCE_US = 25_000  # a new link waits this long for its candidates' probes: a round trip between zones
@@ -537,9 +538,9 @@
         if x0 is not None:
             host.x0, host.x0_at = x0, now
             # Asked for more than it can do, a host may answer at once and yet serve nobody in time.
-            if x0 > FULL and not self.terms.late_told:
+            if x0 > EDGE and not self.terms.late_told:
                 # It has to lose what it is over by, and a little more; then it is looked at again.
-                self.slow(now, host, 1 + (x0 - FULL) / MOVE_SHARE, MOVE_US)
+                self.slow(now, host, 1 + (x0 - EDGE) / MOVE_SHARE, MOVE_US)
 
     def load_note(self, now: int, link: Link, load: float) -> None:
         """A link's load as it is now, in microseconds of work a second."""
@@ -621,7 +622,7 @@
             return PROBE_US
         # Where load shows in no delay, a host that has filled up with links would keep them, and serve none.
         if self.terms.probe_tells_load and not self.terms.late_told and host.open:
-            return MOVE_US if host.x0 > FULL else WATCH_US
+            return MOVE_US if host.x0 > EDGE else WATCH_US
         return 0
 
     def moves(self, now: int) -> list[int]:
