--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -22,6 +22,7 @@
 from larchlatch.node.words import Arrived, Left, Tried
 
 FIRST_LINE_S = 10.0  # a client that has not said what it wants by then is dropped
+MOVE_S = 0.5  # a client that does not read so long is cut off: it can't be told to move
 LAG_US = 15_000  # the answer leaves so much before the cut-off: what the loop may be late by
 
 log = structlog.get_logger()
@@ -177,7 +178,8 @@
                 await self.module.post(Tried(hand, ended.outcome, True))
             if ended.side is Side.NODE:
                 self.counters.add("link moved off a silent host" if hand.silent else "link moved")
-                await client.send(say.MOVE)
+                with anyio.move_on_after(MOVE_S):
+                    await client.send(say.MOVE)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(client.finish, ended.how)
                 tasks.start_soon(host.finish, ended.how)
--- a/larchlatch/node/lifecycle/stop.py
+++ b/larchlatch/node/lifecycle/stop.py
@@ -10,7 +10,6 @@
 
 GRANTED_S = 0.7  # what PROTOCOL grants a node beyond the longest cut-off before it is ended
 SPARE_S = 0.4  # all is over this long before that: a moved link takes a moment to close
-STILL_COMING_S = 0.5  # so long new links may still come: the front notices within 0.4 s
 STEP_S = 0.05  # between two rounds of moves
 
 log = structlog.get_logger()
@@ -32,7 +31,8 @@
                 hand.move.set()
             share -= int(share)
         # Where packets pass through, links go on through other nodes: cutting them here would gain nothing.
-        if passed >= STILL_COMING_S and door.in_hand == 0:
+        # And until the time is up new ones may come through a front that has not noticed.
+        if passed >= span + SPARE_S and door.in_hand == 0:
             break
         await anyio.sleep(STEP_S)
     scope.cancel()
--- a/larchlatch/node/memory/hand.py
+++ b/larchlatch/node/memory/hand.py
@@ -40,6 +40,7 @@
         self.attempt: anyio.CancelScope | None = None  # the setup try that is out
         self.move = anyio.Event()
         self.silent = False  # moved because its host said nothing any more
+        self.stalled = False  # the client does not read what is sent to it
         self.asked_at = 0  # when the client sent the first line that has no answer yet; 0: none waits
 
     def settle(self, verdict: Verdict) -> bool:
--- a/larchlatch/node/module.py
+++ b/larchlatch/node/module.py
@@ -21,6 +21,7 @@
 from larchlatch.node.peer import Peer, Probe, Reach, Try
 from larchlatch.node.wire.catalog import Members
 
+FAILED_US = 100_000  # before the decisions are asked again how long to wait, after they failed
 MAILBOX = 1024  # words: when it is full, whoever reads from sockets waits
 
 log = structlog.get_logger()
@@ -59,7 +60,7 @@
                     self.hear(await self.words.receive())
                 while self.words.statistics().current_buffer_used:
                     self.hear(self.words.receive_nowait())
-                wake_at = self.due()
+                wake_at = self.looked()
 
     def hear(self, word: words.Word) -> None:
         try:
@@ -68,7 +69,8 @@
             # A fault in the decisions is told, never hidden; the link that it struck still gets its answer.
             log.exception("the decisions failed", word=type(word).__name__)
             self.counters.add("decisions failed")
-            if isinstance(word, words.Arrived | words.Tried):
+            if isinstance(word, words.Arrived | words.Due | words.Tried):
+                self.hands.pop(word.hand.link.number, None)
                 word.hand.settle(GivenUp())
 
     def heard(self, now: int, word: words.Word) -> None:
@@ -78,6 +80,8 @@
                 if not hand.gone:
                     self.hands[hand.link.number] = hand
                     self.carry_out(hand, brain.place(now, hand.link))
+            case words.Due(hand):
+                self.carry_out(hand, brain.place(now, hand.link))
             case words.Tried(hand, outcome, done):
                 if hand.link.number in self.hands:
                     done = done or hand.gone  # its client has left: no further try may go out
@@ -118,14 +122,24 @@
             del self.hands[hand.link.number]
             hand.settle(Shed(answer.at) if answer.host == links.SHED else GivenUp())
 
-    def due(self) -> int:
+    def looked(self) -> int:
         """Carry out what has fallen due; when to look again."""
         now = now_us()
         while self.held and self.held[0][0] <= now:
             _, number = heapq.heappop(self.held)
             hand = self.hands.get(number)
             if hand is not None:
-                self.carry_out(hand, self.brain.place(now, hand.link))
+                self.hear(words.Due(hand))
+        try:
+            wake_at = now + self.due(now)
+        except Exception:
+            log.exception("the decisions failed", word="wait")
+            self.counters.add("decisions failed")
+            wake_at = now + FAILED_US
+        return min(wake_at, self.held[0][0]) if self.held else wake_at
+
+    def due(self, now: int) -> int:
+        """Ask once how long to wait, and carry out what comes with the answer."""
         due = self.brain.wait(now)
         for host in due.probes:
             if not self.peers[host].order(Probe()):
@@ -137,7 +151,7 @@
                 self.hands[number].move.set()
         if due.ask_list and self.listing is not None:
             self.listing.ask()
-        return min(now + due.wait_us, self.held[0][0] if self.held else now + due.wait_us)
+        return due.wait_us
 
     def number(self, name: str) -> int:
         return self.numbers.setdefault(name, len(self.numbers))
--- a/larchlatch/node/peer.py
+++ b/larchlatch/node/peer.py
@@ -183,7 +183,12 @@
             now = now_us()
             for hand in self.standing.values():
                 # A host that has vanished resets nothing: its links would stay open and silent for good.
-                if hand.asked_at and now >= hand.asked_at + SILENT_US and not hand.silent:
+                if (
+                    hand.asked_at
+                    and not hand.stalled
+                    and now >= hand.asked_at + SILENT_US
+                    and not hand.silent
+                ):
                     hand.silent = True
                     hand.move.set()
             if self.reach.tells_delay and self.reach.strictest_us and now >= self.noted_at + NOTE_US:
@@ -196,7 +201,7 @@
             return
         took = [delay for at, delay in self.delays if at > now - NOTE_US]
         edge = self.reach.strictest_us // NOTED_SHARE
-        waits = [now - hand.asked_at for hand in self.standing.values() if hand.asked_at]
+        waits = [now - h.asked_at for h in self.standing.values() if h.asked_at and not h.stalled]
         took += [wait for wait in waits if wait > edge]
         if not took:
             return
--- a/larchlatch/node/relay.py
+++ b/larchlatch/node/relay.py
@@ -53,12 +53,10 @@
                 end(Side.NODE, Ending.END, Outcome.CUT if self.hand.silent else Outcome.CANCELLED)
 
             async def up() -> None:
-                how = await self.pass_up()
-                end(*how)
+                end(*await self.pass_up())
 
             async def down() -> None:
-                how = await self.pass_down()
-                end(*how)
+                end(*await self.pass_down())
 
             tasks.start_soon(moved)
             tasks.start_soon(up)
@@ -93,5 +91,9 @@
                         self.last = Outcome.CANCELLED
                     case _:
                         self.peer.answered(self.hand)
-            if not await self.client.send(b"".join(some)):
+            # While a client does not read, its host is not heard: that must not be taken for silence.
+            self.hand.stalled = True
+            sent = await self.client.send(b"".join(some))
+            self.hand.stalled = False
+            if not sent:
                 return Ended(Side.CLIENT, Ending.RESET, Outcome.CANCELLED)
--- a/larchlatch/node/wire/stream.py
+++ b/larchlatch/node/wire/stream.py
@@ -36,6 +36,9 @@
 
     def __init__(self, stream: SocketStream) -> None:
         self.stream = stream
+        # A client whose machine has vanished says nothing more: without this its link would hold two
+        # descriptors for good.
+        stream.extra(SocketAttribute.raw_socket).setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         self.tail = b""  # what has come of a line that is still open
         self.ready: list[bytes] = []  # whole lines that came with one asked for
         self.spoken_to = False  # something has been sent
--- a/larchlatch/node/words.py
+++ b/larchlatch/node/words.py
@@ -16,6 +16,12 @@
     hand: Hand
 
 
+class Due(NamedTuple):
+    """A link that was held, and is to be asked for again."""
+
+    hand: Hand
+
+
 class Stood(NamedTuple):
     """A link that was open at a host before this node started."""
 
@@ -62,5 +68,5 @@
     """The watch broke off or could not be had."""
 
 
-Word = Arrived | Stood | Tried | Left | LoadNote | DelayNote | Probed | ListTold | ListFailed
+Word = Arrived | Due | Stood | Tried | Left | LoadNote | DelayNote | Probed | ListTold | ListFailed
 Post = Callable[[Word], Awaitable[None]]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,6 +18,8 @@
 from hypothesis import strategies as st
 
 from larchlatch.__main__ import cli
+from larchlatch.brain import Brain
+from larchlatch.links import Answer, Link
 from larchlatch.node import peer
 from larchlatch.node.lifecycle.plan import plan_from
 from larchlatch.node.lifecycle.run import node
@@ -165,6 +167,26 @@
     on_loopback(body)
 
 
+def test_a_fault_in_the_decisions_costs_one_link_its_answer_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A node that ended by it would take all standing links along."""
+    place = Brain.place
+
+    def faulty(brain: Brain, now: int, link: Link) -> Answer:
+        if link.tariff == 2:
+            raise ValueError("made up")
+        return place(brain, now, link)
+
+    monkeypatch.setattr(Brain, "place", faulty)
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP echo").start(tasks)
+        port = await started(tasks, hosts)
+        assert await rest_of(await opened(port, tariff="once")) == [b"FAIL\r\n"]
+        assert await (await opened(port)).line() == b"UP echo\r\n"
+
+    on_loopback(body)
+
+
 def test_many_links_leave_no_descriptor_and_no_room_lost() -> None:
     async def body(tasks: TaskGroup) -> None:
         hosts = await Hosts("UP echo", "BUSY", "ERR", "reset", "UP echo").start(tasks, 2)
