--- a/larchlatch/__main__.py
+++ b/larchlatch/__main__.py
@@ -54,7 +54,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG if verbose else logging.INFO),
         logger_factory=structlog.PrintLoggerFactory(),
     )
-    anyio.run(node, plan)
+    anyio.run(node, plan, backend_options={"use_uvloop": True})
 
 
 @cli.command()
