--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -23,7 +23,7 @@
 
 FIRST_LINE_S = 10.0  # a client that has not said what it wants by then is dropped
 MOVE_S = 0.5  # a client that does not read so long is cut off: it can't be told to move
-LAG_US = 40_000  # the answer leaves so much before the cut-off: a crowd keeps the loop busy as long in one round
+LAG_US = 40_000  # the answer leaves so much before the cut-off: a round of the loop in a crowd
 
 log = structlog.get_logger()
 
