--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -23,7 +23,8 @@
 
 FIRST_LINE_S = 10.0  # a client that has not said what it wants by then is dropped
 MOVE_S = 0.5  # a client that does not read so long is cut off: it can't be told to move
-LAG_US = 40_000  # the answer leaves so much before the cut-off: a round of the loop in a crowd
+LAG_US = 150_000  # the answer leaves so much before the cut-off: a node in a crowd took 0.1 s to pass one on
+LAG_SHARE = 10  # but no more than a tenth of a short cut-off
 
 log = structlog.get_logger()
 
@@ -98,12 +99,13 @@
         await client.finish(Ending.END)
 
     def hand(self, now: int, opening: say.Opening) -> Hand:
+        wait_us = opening.wait_ms * 1000
         link = Link(
             number=next(self.numbers),
             tariff=self.tariffs[opening.tariff],
             key=xxh3_64_intdigest(opening.key.encode()),
             group=xxh3_64_intdigest(opening.group.encode()) if opening.group else None,
-            cut_off=now + opening.wait_ms * 1000 - LAG_US,
+            cut_off=now + wait_us - min(LAG_US, wait_us // LAG_SHARE),
             mid_flow=opening.mid_flow,
             load=opening.load,
         )
