--- a/larchlatch/node/module.py
+++ b/larchlatch/node/module.py
@@ -21,6 +21,7 @@
 from larchlatch.node.peer import Peer, Probe, Reach, Try
 from larchlatch.node.wire.catalog import Members
 
+TICK_US = 4_000  # held links are looked at together once in this: hundreds would each wake the loop by itself
 FAILED_US = 100_000  # before the decisions are asked again how long to wait, after they failed
 MAILBOX = 1024  # words: when it is full, whoever reads from sockets waits
 
@@ -136,7 +137,9 @@
             log.exception("the decisions failed", word="wait")
             self.counters.add("decisions failed")
             wake_at = now + FAILED_US
-        return min(wake_at, self.held[0][0]) if self.held else wake_at
+        if self.held:
+            wake_at = min(wake_at, self.held[0][0])
+        return max(wake_at, now + TICK_US)
 
     def due(self, now: int) -> int:
         """Ask once how long to wait, and carry out what comes with the answer."""
