--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -72,6 +72,7 @@
 HOT = 2.0  # times the mean load above which both candidates count as crowded
 FULL = 0.9  # probed load over capacity from which a host counts as crowded: messages are late soon after
 EDGE = 0.75  # probed load over capacity from which messages are late now and then: bursts find no room above
+UNEVEN = 1.5  # times the mean probed load from which a host is relieved: others have room for what it loses
 PROBE_US = 2 * SECOND  # a probed load serves this long: about as long as load takes to shift between hosts
 WATCH_US = 5 * SECOND  # a host with own links is probed so often: that costs little beside links served late
 GLANCE_US = 25_000  # a new link waits this long for its candidates' probes: a round trip between zones
@@ -407,12 +408,18 @@
         own = self.own(now, host, mean)
         if now >= host.x0_at + STALE_US:
             return own
-        fresh = [h.x0 for h in self.hosts.values() if h.state is State.READY and now < h.x0_at + STALE_US]
+        fresh = self.probed_loads(now)
         total = sum(fresh)
         # The more nodes there are, the less of a host's load is this node's own.
         weight = X0_WEIGHT * self.terms.nodes
         return (own + weight * host.x0 * len(fresh) / total) / (1 + weight) if total else own
 
+    def probed_loads(self, now: int) -> list[float]:
+        """What the ready hosts told when probed of late."""
+        return [h.x0 for h in self.hosts.values() if h.state is State.READY and now < h.x0_at + STALE_US] or [
+            0.0
+        ]
+
     def crowded(self, now: int, host: Host, mean: float) -> bool:
         """Whether a host bears far more of this node's links than the others: a hot key, or bad luck."""
         if now < host.x0_at + PROBE_US and host.x0 > FULL:
@@ -538,7 +545,9 @@
         if x0 is not None:
             host.x0, host.x0_at = x0, now
             # Asked for more than it can do, a host may answer at once and yet serve nobody in time.
-            if x0 > EDGE and not self.terms.late_told:
+            # But where all are as full it would only hand them round.
+            level = self.probed_loads(now)
+            if x0 > max(EDGE, UNEVEN * sum(level) / len(level)) and not self.terms.late_told:
                 # It has to lose what it is over by, and a little more; then it is looked at again.
                 self.slow(now, host, 1 + (x0 - EDGE) / MOVE_SHARE, MOVE_US)
 
@@ -622,7 +631,7 @@
             return PROBE_US
         # Where load shows in no delay, a host that has filled up with links would keep them, and serve none.
         if self.terms.probe_tells_load and not self.terms.late_told and host.open:
-            return MOVE_US if host.x0 > EDGE else WATCH_US
+            return MOVE_US if host.slow_until > host.x0_at else WATCH_US
         return 0
 
     def moves(self, now: int) -> list[int]:
