--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -351,3 +351,21 @@
         moved += due.moves
     assert len(moved) > len(there) // 3
     assert {links[number].host for number in moved} == {full}
+
+
+def test_no_link_is_moved_where_probes_show_all_hosts_to_be_as_full() -> None:
+    """Links would be handed round, each move costing its client, and no host be better off."""
+    ground = Ground(probes=True, probe_tells_load=True, late_told=False)
+    for key in range(1, 40):
+        link = ground.arrive(key=key)
+        for number in ground.brain.wait(ground.now).probes:
+            ground.brain.report(ground.now, number, True, 0.8)
+        ground.run(SECOND // 10)
+        if link.number in ground.out:
+            ground.end(link, Outcome.STANDS)
+    for step in range(100):
+        ground.now += SECOND // 10
+        due = ground.brain.wait(ground.now)
+        for number in due.probes:
+            ground.brain.report(ground.now, number, True, 0.8 + 0.02 * (step % 10))
+        assert not due.moves
