--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -25,7 +25,6 @@
 MOVE_S = 0.5  # a client that does not read so long is cut off: it can't be told to move
 LAG_US = 150_000  # the answer leaves so much before the cut-off: a node in a crowd took 0.1 s to pass one on
 LAG_SHARE = 10  # but no more than a tenth of a short cut-off
-LATE_SHARE = 4  # of its time at the most that a link is answered earlier because it was read late
 
 log = structlog.get_logger()
 
@@ -101,15 +100,12 @@
 
     def hand(self, now: int, opening: say.Opening) -> Hand:
         wait_us = opening.wait_ms * 1000
-        # A crowd that took long to read takes as long to answer, and its cut-offs fall into one moment: who
-        # was read late is answered so much earlier.
-        late_us = now_us() - now
         link = Link(
             number=next(self.numbers),
             tariff=self.tariffs[opening.tariff],
             key=xxh3_64_intdigest(opening.key.encode()),
             group=xxh3_64_intdigest(opening.group.encode()) if opening.group else None,
-            cut_off=now + wait_us - min(LAG_US, wait_us // LAG_SHARE) - min(late_us, wait_us // LATE_SHARE),
+            cut_off=now + wait_us - min(LAG_US, wait_us // LAG_SHARE),
             mid_flow=opening.mid_flow,
             load=opening.load,
         )
