SIGHUP rereads the configuration and follows discovery to its new address

Checked: the signal receiver named SIGTERM, SIGINT and SIGUSR1 alone (lifecycle/run.py), and nothing could turn the list's actor to another address (listing.py). Ruled out: lost links before the first SIGHUP (the first at 3.05 s). Now: the file is read and checked as at the start, a faulty one refused with its key named; a new address ends the old watch at once and the whole list is fetched there. SIGTERM no longer ends the reading of signals.

--- a/larchlatch/__main__.py
+++ b/larchlatch/__main__.py
@@ -42,7 +42,7 @@
 @WHERE
 @click.option("--verbose", is_flag=True, help="Log what befalls single connections, too.")
 def serve(config: Path, verbose: bool) -> None:
-    """Run one node until SIGTERM; SIGUSR1 prints its counters."""
+    """Run one node until SIGTERM; SIGHUP rereads its configuration, SIGUSR1 prints its counters."""
     plan = read(config)
     structlog.configure(
         processors=[
@@ -54,7 +54,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG if verbose else logging.INFO),
         logger_factory=structlog.PrintLoggerFactory(),
     )
-    anyio.run(node, plan, backend_options={"use_uvloop": True})
+    anyio.run(node, plan, config, backend_options={"use_uvloop": True})
 
 
 @cli.command()
--- a/larchlatch/node/lifecycle/run.py
+++ b/larchlatch/node/lifecycle/run.py
@@ -4,6 +4,7 @@
 
 import errno
 import signal
+from pathlib import Path
 
 import anyio
 import structlog
@@ -13,6 +14,7 @@
 from larchlatch.node.client import Door
 from larchlatch.node.clock import now_us
 from larchlatch.node.lifecycle.plan import Plan
+from larchlatch.node.lifecycle.reread import reread
 from larchlatch.node.lifecycle.stop import stopped
 from larchlatch.node.listing import Listing
 from larchlatch.node.memory.counters import Counters
@@ -27,6 +29,9 @@
 # Errors of accepting that pass: no descriptor or memory now, or a client that has left already.
 PASSING = (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED, errno.ENOBUFS, errno.ENOMEM)
 
+# Each has its handler before the first link is taken: by default a process ends at them, its links with it.
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
+
 log = structlog.get_logger()
 
 
@@ -49,8 +54,8 @@
         tasks.start_soon(door.serve, stream)
 
 
-async def node(plan: Plan, *, task_status: TaskStatus[int] = TASK_STATUS_IGNORED) -> None:
-    """Serve until told to stop; says on which port once it can."""
+async def node(plan: Plan, path: Path, *, task_status: TaskStatus[int] = TASK_STATUS_IGNORED) -> None:
+    """Serve by this plan, read from that file, until told to stop; says on which port once it can."""
     counters = Counters()
     room = Room(plan.sockets)
     module = Module(plan.terms, plan.zones, plan.seed, plan.reach, room, counters)
@@ -63,7 +68,8 @@
     multi = await anyio.create_tcp_listener(
         local_host=plan.listen[0], local_port=plan.listen[1], backlog=BACKLOG
     )
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+    stopping = False
+    with anyio.open_signal_receiver(*SIGNALS) as signals:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(module.run)
             tasks.start_soon(listing.run)
@@ -77,8 +83,11 @@
             log.info("serving", node=plan.name, listen=address, hosts=len(module.peers))
             task_status.started(int(address[1]))
             async for told in signals:
+                if told == signal.SIGHUP:
+                    plan = reread(plan, path, listing, counters)
+                    continue
                 log.info("counters", **counters.told())
-                if told != signal.SIGUSR1:
-                    break
-            tasks.start_soon(stopped, plan, door, tasks.cancel_scope)
+                if told != signal.SIGUSR1 and not stopping:
+                    stopping = True
+                    tasks.start_soon(stopped, plan, door, tasks.cancel_scope)
     log.info("stopped", **counters.told())
--- a/larchlatch/node/listing.py
+++ b/larchlatch/node/listing.py
@@ -32,6 +32,8 @@
         self.pushed = pushed
         self.counters = counters
         self.post = post
+        self.whole = False  # the next list is to be the whole one
+        self.watching = anyio.CancelScope()
         self.fresh = anyio.Event()  # the first word from discovery itself has come
         self.sender, self.asks = anyio.create_memory_object_stream[None](1)
 
@@ -39,19 +41,38 @@
         with suppress(anyio.WouldBlock):  # one is waiting already
             self.sender.send_nowait(None)
 
+    def follow(self, address: tuple[str, int]) -> None:
+        """From now on the list is had at another address."""
+        # Versions there need not go on from the ones here: a host that the new list lacks would stay.
+        self.address, self.whole = address, True
+        self.watching.cancel()
+        self.ask()
+
     async def run(self) -> None:
         if self.pushed:
             self.ask()
         async for _ in self.asks:
-            await self.watched()
+            with anyio.CancelScope() as self.watching:
+                await self.watched()
+            if self.watching.cancelled_caught:
+                continue  # by follow, which has asked already
             await self.post(ListFailed())
             if self.pushed:
                 await anyio.sleep(AGAIN_S)
                 self.ask()
 
+    async def tell(self, told: catalog.Members) -> None:
+        self.revision = told.revision
+        self.counters.add("list whole" if told.whole else "list change")
+        await self.post(ListTold(told, asked=True))
+        self.fresh.set()
+
     async def watched(self) -> None:
         """Follow the watch until it ends, whatever ends it."""
         try:
+            if self.whole:
+                await self.tell(await catalog.fetch(self.address, PATH, SILENCE_S))
+                self.whole = False
             first = True
             async for told in catalog.watch(self.address, PATH, self.revision, SILENCE_S):
                 # A version left out, or one that runs back: what was missed would never be heard of.
@@ -59,10 +80,7 @@
                 if gap and not told.whole:
                     told = await catalog.fetch(self.address, PATH, SILENCE_S)
                 first = False
-                self.revision = told.revision
-                self.counters.add("list whole" if told.whole else "list change")
-                await self.post(ListTold(told, asked=True))
-                self.fresh.set()
+                await self.tell(told)
         except BadInput as error:
             # Nonsense from discovery is no list: the node works on with the one it has.
             self.counters.add("list unreadable")
--- a/tests/ground.py
+++ b/tests/ground.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
+import os
 import random
-from collections.abc import Awaitable, Callable
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
 from functools import partial
+from pathlib import Path
 from typing import Any
 
 import anyio
 import orjson
-from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from anyio.abc import Process, SocketAttribute, SocketStream, TaskGroup
+from anyio.streams.buffered import BufferedByteReceiveStream
 
 from larchlatch.brain import Brain
 from larchlatch.links import (
@@ -283,6 +290,7 @@
         self.stories = list(stories)  # None: nonsense; the last watch stays open
         self.port = 0
         self.asked: list[str] = []
+        self.left = 0  # watches that the node has ended
 
     async def start(self, tasks: TaskGroup) -> Discovery:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
@@ -303,9 +311,51 @@
             if "watch" not in asked:
                 await stream.send(b"0\r\n\r\n")
             elif not self.stories:
-                while True:
-                    await stream.send(b"1\r\n\n\r\n")
-                    await anyio.sleep(0.5)
+                with suppress(anyio.BrokenResourceError):
+                    while True:
+                        await stream.send(b"1\r\n\n\r\n")
+                        await anyio.sleep(0.1)
+                self.left += 1
+
+
+class Running:
+    """A node in a process of its own, and what it logs."""
+
+    def __init__(self, process: Process) -> None:
+        assert process.stdout is not None
+        self.process = process
+        self.log = BufferedByteReceiveStream(process.stdout)
+        self.port = 0
+
+    def signal(self, number: signal.Signals) -> None:
+        self.process.send_signal(number)
+
+    async def told(self, event: str) -> dict[str, Any]:
+        """The next line of the log that tells of this."""
+        while True:
+            told: dict[str, Any] = orjson.loads(await self.log.receive_until(b"\n", 65536))
+            if told["event"] == event:
+                return told
+
+    async def ended(self) -> int:
+        return await self.process.wait()
+
+
+@asynccontextmanager
+async def process(path: Path) -> AsyncIterator[Running]:
+    """A node that serves by this configuration."""
+    command = [sys.executable, "-B", "-m", "larchlatch", "serve"]
+    made = await anyio.open_process(
+        command, env={**os.environ, "EDGE_CONFIG": str(path)}, stderr=subprocess.STDOUT
+    )
+    try:
+        running = Running(made)
+        running.port = (await running.told("serving"))["listen"][1]
+        yield running
+    finally:
+        if made.returncode is None:
+            made.kill()
+        await made.aclose()
 
 
 def port_of(listener: Any) -> int:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,8 +6,6 @@
 import select
 import signal
 import socket
-import subprocess
-import sys
 import time
 from pathlib import Path
 from typing import Any
@@ -30,9 +28,10 @@
 from larchlatch.node.memory.room import RESERVE
 from larchlatch.node.wire.lines import BadLine, Opening, Up, opening_of, said_by_host, try_line
 from larchlatch.node.wire.stream import Ending, Lines
-from tests.ground import Discovery, Hosts, configuration, dial, member, on_loopback, opened, until
+from tests.ground import Discovery, Hosts, configuration, dial, member, on_loopback, opened, process, until
 
 ANSWERS = ["UP r1", "BUSY", "ERR", "reset", "silent", "MOVE", "BUSY inflight=7,queue=2", "odd words"]
+NO_FILE = Path("none.json")  # where nothing is read anew
 NEWS = {"revision": 2, "complete": False, "members": []}
 TARIFFS = ["rerun", "ticket", "once"]
 
@@ -40,7 +39,11 @@
 async def started(tasks: TaskGroup, hosts: Hosts, **changes: Any) -> int:
     """A node before these hosts; the port it listens on."""
     discovery = await Discovery([NEWS]).start(tasks)
-    port: int = await tasks.start(node, plan_from(configuration(hosts.addresses, discovery.port, **changes)))
+    return await serving(tasks, configuration(hosts.addresses, discovery.port, **changes))
+
+
+async def serving(tasks: TaskGroup, raw: dict[str, Any]) -> int:
+    port: int = await tasks.start(node, plan_from(raw), NO_FILE)
     return port
 
 
@@ -216,7 +219,7 @@
         discovery = await Discovery([NEWS]).start(tasks)
         raw = configuration(hosts.addresses, discovery.port)
         raw["limits"] = {"sockets": RESERVE + 70}
-        port: int = await tasks.start(node, plan_from(raw))
+        port = await serving(tasks, raw)
         before = len(os.listdir("/proc/self/fd"))
 
         async def visit(number: int) -> None:
@@ -245,7 +248,7 @@
         discovery = await Discovery([NEWS]).start(tasks)
         raw = configuration(hosts.addresses, discovery.port)
         raw["limits"] = {"sockets": RESERVE + 4}
-        port: int = await tasks.start(node, plan_from(raw))
+        port = await serving(tasks, raw)
         first = await opened(port, tariff="once")
         assert await first.line() == b"UP echo\r\n"
         second = await opened(port, tariff="once")
@@ -285,7 +288,7 @@
             None,
             [{"revision": 2, "complete": False, "members": [gone, member(1, new.addresses[0])]}],
         ).start(tasks)
-        port: int = await tasks.start(node, plan_from(configuration(old.addresses, discovery.port)))
+        port = await serving(tasks, configuration(old.addresses, discovery.port))
         await until(lambda: len(discovery.asked) >= 3)
         while await (await opened(port)).line() != b"UP new\r\n":
             await anyio.sleep(0.02)
@@ -304,7 +307,7 @@
             [{"revision": 5, "complete": True, "members": [member(1, new.addresses[0])]}],
             [],
         ).start(tasks)
-        port: int = await tasks.start(node, plan_from(configuration(old.addresses, discovery.port)))
+        port = await serving(tasks, configuration(old.addresses, discovery.port))
         await until(lambda: len(discovery.asked) >= 2)
         assert discovery.asked[1] == "GET /catalog/members HTTP/1.1"
         while await (await opened(port)).line() != b"UP new\r\n":
@@ -321,24 +324,15 @@
         discovery = await Discovery([NEWS]).start(tasks)
         path = tmp_path / "node.json"
         path.write_bytes(orjson.dumps(configuration(hosts.addresses, discovery.port)))
-        command = [sys.executable, "-B", "-m", "larchlatch", "serve"]
-        process = await anyio.open_process(
-            command, env={**os.environ, "EDGE_CONFIG": str(path)}, stderr=subprocess.STDOUT
-        )
-        async with process:
-            assert process.stdout is not None
-            log = b""
-            while b'"serving"' not in log or not log.endswith(b"\n"):
-                log += await process.stdout.receive()
-            port = orjson.loads(log.splitlines()[0])["listen"][1]
-            front = await dial(port)
+        async with process(path) as running:
+            front = await dial(running.port)
             await front.send(b"PING\r\n")
             assert await front.line() == b"PONG\r\n"
-            clients = [await opened(port, key=f"k{number}") for number in range(8)]
+            clients = [await opened(running.port, key=f"k{number}") for number in range(8)]
             for client in clients:
                 assert await client.line() == b"UP echo\r\n"
-            process.send_signal(signal.SIGTERM)
-            late = await opened(port, key="late")
+            running.signal(signal.SIGTERM)
+            late = await opened(running.port, key="late")
             assert await late.line() == b"UP echo\r\n"
             moved = []
 
@@ -351,13 +345,41 @@
                     waits.start_soon(wait_for, client)
             assert moved[-1] - moved[0] > 0.5, "all at once"
             await front.close()
-            while True:
-                try:
-                    log += await process.stdout.receive()
-                except anyio.EndOfStream:
-                    break
-            assert await process.wait() == 0
-            assert orjson.loads(log.splitlines()[-1])["link delivered"] == 9
+            assert (await running.told("stopped"))["link delivered"] == 9
+            assert await running.ended() == 0
+
+    on_loopback(body)
+
+
+def test_sighup_follows_a_new_list_service_and_refuses_a_faulty_file(tmp_path: Path) -> None:
+    """By default a process ends at SIGHUP: its links would be lost, and a slip in a file as well."""
+
+    async def body(tasks: TaskGroup) -> None:
+        old, new = await Hosts("UP echo").start(tasks), await Hosts("UP new").start(tasks)
+        first = await Discovery([NEWS]).start(tasks)
+        # Its version is older than what the node has heard of, and it does not name the first host.
+        whole = {"revision": 1, "complete": True, "members": [member(1, new.addresses[0])]}
+        second = await Discovery([whole], []).start(tasks)
+        path = tmp_path / "node.json"
+        good = configuration(old.addresses, first.port)
+        path.write_bytes(orjson.dumps(good))
+        async with process(path) as running:
+            standing = await opened(running.port)
+            assert await standing.line() == b"UP echo\r\n"
+            path.write_bytes(orjson.dumps({**good, "discovery": "nowhere"}))
+            running.signal(signal.SIGHUP)
+            assert "discovery" in (await running.told("configuration refused"))["why"]
+            path.write_bytes(orjson.dumps({**good, "discovery": f"127.0.0.1:{second.port}"}))
+            running.signal(signal.SIGHUP)
+            await until(lambda: len(second.asked) >= 2)
+            assert "watch" not in second.asked[0] and "watch" in second.asked[1]
+            while await (await opened(running.port, key="k2")).line() != b"UP new\r\n":
+                await anyio.sleep(0.02)
+            await until(lambda: first.left == 1)  # the old watch ends
+            await standing.send(b"still there\r\n")
+            assert await standing.line() == b"still there\r\n"
+            running.signal(signal.SIGINT)
+            await running.told("stopping")
 
     on_loopback(body)
 
