A host that answers no link is told of after half a second; out of reach, it loses all at once

Seen: with bad clients and a vanished host that held half of all links, these left in rounds of two fifths a second, the last 30 by its reset 2.6 s later. Checked in the log: notes came once a second as a median with old answers in it (peer.py note), the probe that failed 0.4 s later changed nothing (brain.py moves), SILENT_US was 5 s. Ruled out: late probes (the host was probed at 0.47 of its capacity 2 s before), node CPU. Now peer.py tells `quiet`, moves() takes all links off a host that is quiet and unreached, a single silent link is given up after 1.5 s at two looks.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -6,8 +6,8 @@
     outcome(now, link, what)    what to do after this outcome of its setup try: the same answers, or nothing
     wait(now)                   how long to wait, and what is due now: probes, a request for the list, moves
 
-What the node observes goes in by hosts_listed, list_failed, report, load_note, delay_note, standing and
-left, which return nothing. The types of all of these are in larchlatch/links.py. Times are whole
+What the node observes goes in by hosts_listed, list_failed, report, load_note, delay_note, quiet, standing
+and left, which return nothing. The types of all of these are in larchlatch/links.py. Times are whole
 microseconds of the clock that the caller hands in; nothing here reads a clock or shares state with another
 node. docs/design.md says where each choice comes from.
 """
@@ -128,6 +128,7 @@
         self.unreached = False  # the last outcome was no connection at all
         self.slow_until = 0
         self.late = 1.0  # what a message took there by the last note, in wanted message times
+        self.quiet_until = 0  # no message is answered there, on no link
         self.move_at = 0
         self.x0 = 0.0
         self.x0_at = -STALE_US
@@ -157,7 +158,7 @@
         """Take over what the list says."""
         if line.came_up > self.came_up and line.state is State.READY:
             self.recent.clear()  # a new start: what the old process did says nothing of it
-            self.rest = self.rest_until = self.slow_until = 0
+            self.rest = self.rest_until = self.slow_until = self.quiet_until = 0
         self.name, self.zone, self.cell, self.state = line.name, line.zone, line.cell, line.state
         self.size, self.came_up = line.size, line.came_up
 
@@ -540,6 +541,8 @@
         """A probe's result."""
         host = self.hosts[number]
         host.unreached = not answered
+        if host.unreached and now < host.quiet_until:
+            self.look_at = now
         if not answered or host.rest:
             host.judge(now, answered, host.probed_at)
         if x0 is not None:
@@ -566,7 +569,13 @@
         if self.strictest and delay_us > NEAR * self.strictest:
             self.slow(now, host, delay_us / self.strictest, SLOW_US)
         else:
-            host.slow_until = 0
+            host.slow_until = host.quiet_until = 0
+
+    def quiet(self, now: int, number: int) -> None:
+        """Messages wait on a host's links, and for a while none of them has been answered."""
+        host = self.hosts[number]
+        host.quiet_until = now + SLOW_US
+        self.slow(now, host, MOST_LATE, SLOW_US)
 
     def slow(self, now: int, host: Host, late: float, span: int) -> None:
         """A host's messages are late now, or about to be."""
@@ -640,6 +649,10 @@
         slow = [host for host in ready if now < host.slow_until]
         moved: list[Link] = []
         for host in slow:
+            if host.unreached and now < host.quiet_until:
+                # Vanished, and it resets nothing: a link left there earns nothing until the host is back.
+                moved += [link for link in host.open.values() if link.open]
+                continue
             if now < host.move_at:
                 self.look_at = min(self.look_at, host.move_at)
                 continue
--- a/larchlatch/node/module.py
+++ b/larchlatch/node/module.py
@@ -104,6 +104,8 @@
             case words.DelayNote(hand, delay):
                 if hand.link.number in self.hands:
                     brain.delay_note(now, hand.link, delay)
+            case words.Quiet(host):
+                brain.quiet(now, host)
             case words.Probed(host, answered, x0):
                 brain.report(now, host, answered, x0)
             case words.ListTold(members, asked):
--- a/larchlatch/node/peer.py
+++ b/larchlatch/node/peer.py
@@ -17,12 +17,13 @@
 from larchlatch.node.memory.room import Room
 from larchlatch.node.wire import lines as say
 from larchlatch.node.wire.stream import Ending, Lines, Unconnected, connect
-from larchlatch.node.words import DelayNote, LoadNote, Post, Probed, Stood, Tried
+from larchlatch.node.words import DelayNote, LoadNote, Post, Probed, Quiet, Stood, Tried
 
 MAILBOX = 4096  # orders: a crowd of all clients of a node at one host
 BEAT_S = 0.25  # between two looks at what waits for an answer: short against the silence that counts
 NOTE_US = 1_000_000  # delay notes come once a second
-SILENT_US = 5_000_000  # no answer for so long: two seconds before a link has to be ended for it
+SILENT_US = 1_500_000  # a link without an answer for so long is given up: sound ones are answered at once
+QUIET_US = 500_000  # no answer to any link for so long is told at once: many round trips between zones
 PROBE_S = 0.4  # a probe's answer takes a round trip; by then the next one is nearly due
 NOTED_SHARE = 3  # messages that take over a third of the strictest wanted time are told of
 
@@ -71,6 +72,7 @@
         self.delays: deque[tuple[int, int]] = deque(maxlen=256)  # when an answer came, what it took
         self.noted_at = 0
         self.told_slow = False
+        self.heard_at = 0  # when a line last came back on a standing link
         self.look: Lines | None = None  # the connection that probes go over
         self.sender, self.orders = anyio.create_memory_object_stream[Try | Probe](MAILBOX)
 
@@ -172,25 +174,34 @@
 
     def answered(self, hand: Hand) -> None:
         """A line has come back on a standing link."""
+        now = self.heard_at = now_us()
         if hand.asked_at:
-            now = now_us()
             self.delays.append((now, now - hand.asked_at))
             hand.asked_at = 0
 
     async def beat(self) -> None:
+        suspects: set[int] = set()
         while True:
             await anyio.sleep(BEAT_S)
             now = now_us()
-            for hand in self.standing.values():
-                # A host that has vanished resets nothing: its links would stay open and silent for good.
-                if (
-                    hand.asked_at
-                    and not hand.stalled
-                    and now >= hand.asked_at + SILENT_US
-                    and not hand.silent
-                ):
-                    hand.silent = True
-                    hand.move.set()
+            waiting = {
+                n: h for n, h in self.standing.items() if h.asked_at and not h.stalled and not h.silent
+            }
+            silent = {n for n, hand in waiting.items() if now >= hand.asked_at + SILENT_US}
+            # A host that has vanished resets nothing: its links would stay open and silent for good. Each is
+            # looked at twice: after a lag of this node's own, answers lie here that have not been read yet.
+            for number in silent & suspects:
+                waiting[number].silent = True
+                waiting[number].move.set()
+            suspects = silent
+            if now >= self.noted_at + NOTE_US or not self.told_slow:
+                since = [hand.asked_at for hand in waiting.values() if hand.asked_at > self.heard_at]
+                oldest = min(since, default=now)
+                if now >= oldest + QUIET_US:
+                    self.noted_at, self.told_slow = now, True
+                    self.counters.add("host quiet")
+                    log.debug("quiet", host=self.name, us=now - oldest, links=len(self.standing))
+                    await self.post(Quiet(self.number))
             if self.reach.tells_delay and self.reach.strictest_us and now >= self.noted_at + NOTE_US:
                 self.noted_at = now
                 await self.note(now)
--- a/larchlatch/node/words.py
+++ b/larchlatch/node/words.py
@@ -53,6 +53,12 @@
     delay_us: int
 
 
+class Quiet(NamedTuple):
+    """Messages wait on a host's links, and nothing has come back on any of them."""
+
+    host: int
+
+
 class Probed(NamedTuple):
     host: int
     answered: bool
@@ -68,5 +74,5 @@
     """The watch broke off or could not be had."""
 
 
-Word = Arrived | Due | Stood | Tried | Left | LoadNote | DelayNote | Probed | ListTold | ListFailed
+Word = Arrived | Due | Stood | Tried | Left | LoadNote | DelayNote | Quiet | Probed | ListTold | ListFailed
 Post = Callable[[Word], Awaitable[None]]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -156,6 +156,34 @@
     on_loopback(body)
 
 
+def test_a_host_that_answers_no_link_is_told_of_before_its_links_are_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Only the module can take all its links away; a host that answers another link is not quiet."""
+    told: list[int] = []
+    monkeypatch.setattr(Brain, "quiet", lambda brain, now, host: told.append(host))
+    monkeypatch.setattr(peer, "SILENT_US", 10**9)
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP half", "UP echo", "UP half").start(tasks)
+        port = await started(tasks, hosts)
+        clients = []
+        for answer in (b"UP half\r\n", b"UP echo\r\n", b"UP half\r\n"):
+            clients.append(await opened(port))
+            assert await clients[-1].line() == answer
+        mute, sound, late = clients
+        await mute.send(b"hello\r\n")
+        for _ in range(10):
+            await anyio.sleep(0.1)
+            await sound.send(b"hello\r\n")
+            assert await sound.line() == b"hello\r\n"
+        assert not told
+        await late.send(b"hello\r\n")
+        await until(lambda: 0 in told)
+
+    on_loopback(body)
+
+
 BAD = [
     b"",
     b"HELLO\r\n",
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -369,3 +369,20 @@
         for number in due.probes:
             ground.brain.report(ground.now, number, True, 0.8 + 0.02 * (step % 10))
         assert not due.moves
+
+
+def test_all_links_leave_a_host_that_is_quiet_and_out_of_reach_at_once() -> None:
+    """A vanished host resets nothing: moved off bit by bit, its links would earn nothing for seconds."""
+    for answered in (True, False):
+        ground = Ground(probes=True, probe_tells_load=True, late_told=False)
+        links = [Link(number, 0, number + 1, None, 0) for number in range(40)]
+        for link in links:
+            ground.brain.standing(ground.now, link, link.number % 2)
+        ground.brain.quiet(ground.now, 0)
+        due = ground.brain.wait(ground.now)
+        assert 0 in due.probes and 0 < len(due.moves) < 20
+        ground.now += SECOND // 2
+        ground.brain.report(ground.now, 0, answered, 0.5 if answered else None)
+        moved = due.moves + ground.brain.wait(ground.now).moves
+        assert answered or sorted(moved) == [link.number for link in links if link.host == 0]
+        assert not answered or moved == due.moves
