--- a/larchlatch/node/lifecycle/stop.py
+++ b/larchlatch/node/lifecycle/stop.py
@@ -10,7 +10,6 @@
 
 GRANTED_S = 0.7  # what PROTOCOL grants a node beyond the longest cut-off before it is ended
 SPARE_S = 0.4  # all is over this long before that: a moved link takes a moment to close
-NOTICE_S = 0.5  # until then the front goes on dealing out to this node: a moved link would come back to it
 STEP_S = 0.05  # between two rounds of moves
 
 log = structlog.get_logger()
@@ -23,9 +22,7 @@
     share = 0.0
     while True:
         passed = anyio.current_time() - began
-        # Also where packets pass through: left standing, a link would be dark from this node's end until the
-        # front notices, and then be handed over to a node that can only guess its host.
-        if passed >= min(NOTICE_S, span):
+        if not plan.passes_through:
             # All at once they would come back as one crowd at the other nodes: spread evenly, the last
             # ones go when the time is up.
             standing = [hand for hand in door.standing.values() if not hand.move.is_set()]
@@ -33,7 +30,8 @@
             for hand in standing[: int(share)]:
                 hand.move.set()
             share -= int(share)
-        # Until the time is up new ones may come through a front that has not noticed.
+        # Where packets pass through, links go on through other nodes: cutting them here would gain nothing.
+        # And until the time is up new ones may come through a front that has not noticed.
         if passed >= span + SPARE_S and door.in_hand == 0:
             break
         await anyio.sleep(STEP_S)
