Hosts that may have filled up since their last probe are probed again sooner

Checked in the verbose logs: probed empty (0.0) at 1 s, 20 links in the second after (brain.py glance and probe_gap, a probe served 2 s whatever came since). Ruled out: setups that pile up (12 ms), moves (they follow the probes).

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -75,6 +75,8 @@
 UNEVEN = 1.5  # times the mean probed load from which a host is relieved: others have room for what it loses
 PROBE_US = 2 * SECOND  # a probed load serves this long: about as long as load takes to shift between hosts
 WATCH_US = 5 * SECOND  # a host with own links is probed so often: that costs little beside links served late
+GREW = 4  # own links more than at its last probe before that figure is doubted: fewer differ by chance
+FRESH_US = 500_000  # between two probes for that: reports lag by a few tenths of a second
 GLANCE_US = 25_000  # a new link waits this long for its candidates' probes: a round trip between zones
 STALE_US = 10 * SECOND  # a probed load older than this is forgotten
 X0_WEIGHT = 0.5  # weight of probed load against own links for each node: it sees every node's
@@ -133,6 +135,7 @@
         self.x0 = 0.0
         self.x0_at = -STALE_US
         self.probed_at = -STALE_US
+        self.seen = 0  # own links there when it was last probed
         self.turn = -1  # the turn at a fresh host in which `spent` was spent
         self.spent = 0.0
         self.came_up = 0
@@ -149,6 +152,12 @@
             self.known_load -= link.load
             self.unknown -= not link.load
 
+    def outgrown(self) -> bool:
+        """Whether it may have filled up since its last probe, by the own links that it has taken since."""
+        if self.seen < GREW:  # empty, it showed nothing of what a link takes there
+            return len(self.open) >= 2 * GREW
+        return len(self.open) >= self.seen + GREW and self.x0 * len(self.open) > EDGE * self.seen
+
     def spots(self) -> list[int]:
         """Its points on the ring."""
         name = self.name.encode()
@@ -222,7 +231,8 @@
         """Whether a new link had better wait for a look at its candidates' loads."""
         if not self.terms.probe_tells_load or link.mid_flow or link.tries:
             return False
-        stale = [host for host in pair if now >= host.probed_at + PROBE_US]
+        # In a crowd the last probe shows a host empty that is full by now.
+        stale = [h for h in pair if now >= h.probed_at + (FRESH_US if h.outgrown() else PROBE_US)]
         for host in stale:
             host.wanted = True
             self.look_at = now
@@ -630,17 +640,17 @@
         gaps = {h: gap for h in self.hosts.values() if h.state is State.READY and (gap := self.probe_gap(h))}
         due = [host for host, gap in gaps.items() if now >= host.probed_at + gap]
         for host in due:
-            host.probed_at, host.wanted = now, False
+            host.probed_at, host.wanted, host.seen = now, False, len(host.open)
         self.look_at = min([self.look_at, *(host.probed_at + gap for host, gap in gaps.items())])
         return [host.number for host in due]
 
     def probe_gap(self, host: Host) -> int:
         """How long after the last probe the next one is wanted; 0 for never."""
         if host.wanted or host.rest:
-            return PROBE_US
+            return FRESH_US if host.wanted and host.outgrown() else PROBE_US
         # Where load shows in no delay, a host that has filled up with links would keep them, and serve none.
         if self.terms.probe_tells_load and not self.terms.late_told and host.open:
-            return MOVE_US if host.slow_until > host.x0_at else WATCH_US
+            return MOVE_US if host.slow_until > host.x0_at or host.outgrown() else WATCH_US
         return 0
 
     def moves(self, now: int) -> list[int]:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -386,3 +386,19 @@
         moved = due.moves + ground.brain.wait(ground.now).moves
         assert answered or sorted(moved) == [link.number for link in links if link.host == 0]
         assert not answered or moved == due.moves
+
+
+def test_a_host_that_may_have_filled_up_is_probed_again_before_the_next_link() -> None:
+    """A crowd comes within the time that a probe serves: the figure is from before, and the host full."""
+    for load, least, most in ((0.05, 1, 2), (0.7, 3, 5)):
+        ground = Ground(hosts=2, probes=True, probe_tells_load=True, late_told=False)
+        probed = {0: 0, 1: 0}
+        for key in range(1, 40):
+            link = ground.arrive(key=key)
+            for number in ground.brain.wait(ground.now).probes:
+                ground.brain.report(ground.now, number, True, load)
+                probed[number] += 1
+            ground.run(SECOND // 20)
+            ground.end(link, Outcome.STANDS)
+        # Where there is much room a probe serves its time: looks at every few links would scatter groups.
+        assert all(least <= number <= most for number in probed.values())
