A vanished host no longer holds up the relief of those that its links fill

Seen: with bad clients and a vanished host that held half of all links, two small hosts are probed at 1.1 to 1.6 of their capacity for three seconds after it, while two others stand at 0.3; links wait up to 2.5 s for their first try. Checked in the verbose log: no move between 10.5 and 13 s; 14 tries get no connection to the vanished host. At fault: brain.py moves and slow counted it among the slow (three of five, so "most are slow"), and its rests of a fraction of a second sent a link each to try it. Ruled out: the pace of bad clients, late probes (both hosts are probed each second).

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -595,7 +595,7 @@
         self.overdriven(now, host)
         # Where most hosts that a node can judge are slow, what it moves off one fills the next: links
         # have to come in more slowly than they go until the hosts have worked off what has piled up.
-        bearing = [h for h in self.hosts.values() if h.open]
+        bearing = [h for h in self.hosts.values() if h.open and not h.unreached]
         if 2 * sum(now < h.slow_until for h in bearing) > len(bearing) > 1:
             self.pace.judge(now, False, now)
 
@@ -655,14 +655,17 @@
 
     def moves(self, now: int) -> list[int]:
         """Links to be moved off hosts whose messages have grown slow."""
+        moved: list[Link] = []
         ready = [host for host in self.hosts.values() if host.state is State.READY]
+        vanished = [host for host in ready if host.unreached and now < host.quiet_until]
+        for host in vanished:
+            # It resets nothing: a link left there earns nothing, and one sent to try it waits for nothing.
+            moved += [link for link in host.open.values() if link.open]
+            host.relieve(now, now, host.longest, host.longest)
+        # Nor does it tell of the others, which its links may fill up: those have to be relieved.
+        ready = [host for host in ready if host not in vanished]
         slow = [host for host in ready if now < host.slow_until]
-        moved: list[Link] = []
         for host in slow:
-            if host.unreached and now < host.quiet_until:
-                # Vanished, and it resets nothing: a link left there earns nothing until the host is back.
-                moved += [link for link in host.open.values() if link.open]
-                continue
             if now < host.move_at:
                 self.look_at = min(self.look_at, host.move_at)
                 continue
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -402,3 +402,26 @@
             ground.end(link, Outcome.STANDS)
         # Where there is much room a probe serves its time: looks at every few links would scatter groups.
         assert all(least <= number <= most for number in probed.values())
+
+
+def test_a_vanished_host_neither_holds_up_relief_of_others_nor_costs_links_their_tries() -> None:
+    """What it held fills the others: were it counted as slow with these, most would be, and none be relieved."""
+    ground = Ground(hosts=5, probes=True, probe_tells_load=True, late_told=False)
+    for number in range(120):
+        ground.brain.standing(ground.now, Link(number, 0, number + 1, None, 0), number % 5)
+    ground.brain.wait(ground.now)
+    ground.brain.quiet(ground.now, 0)
+    ground.brain.report(ground.now, 0, False, None)
+    for number in (4, 3, 2, 1):
+        ground.brain.report(ground.now, number, True, 1.5 if number < 3 else 0.2)
+    moved = ground.brain.wait(ground.now).moves
+    assert {number % 5 for number in moved} == {0, 1, 2}
+    for step in range(8):
+        ground.now += SECOND // 2
+        link = ground.arrive(key=step + 1)
+        for number in ground.brain.wait(ground.now).probes:
+            ground.brain.report(ground.now, number, number != 0, 0.2)
+        ground.run(SECOND // 20)
+        assert ground.out.get(link.number) != 0
+        if link.number in ground.out:
+            ground.end(link, Outcome.STANDS)
