--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -405,7 +405,7 @@
 
 
 def test_a_vanished_host_neither_holds_up_relief_of_others_nor_costs_links_their_tries() -> None:
-    """What it held fills the others: were it counted as slow with these, most would be, and none be relieved."""
+    """Its links fill others: were it counted as slow with these, most would be, and none be relieved."""
     ground = Ground(hosts=5, probes=True, probe_tells_load=True, late_told=False)
     for number in range(120):
         ground.brain.standing(ground.now, Link(number, 0, number + 1, None, 0), number % 5)
