A try that others sent an expected time later have overtaken is given up for another host

Ruled out: a slow store (later tries come up at once), lines that the node left unread (first tries go out within 40 ms). brain.py waited for every setup till the cut-off, rightly where a shared queue holds up all. Now wait() also names tries to be given up: rerunnable, and overtaken by one sent at least the expected time later; node and adapter carry it out.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -4,7 +4,8 @@
 
     place(now, link)            where to send this link: a host, or not yet, or never (shed, given up)
     outcome(now, link, what)    what to do after this outcome of its setup try: the same answers, or nothing
-    wait(now)                   how long to wait, and what is due now: probes, a request for the list, moves
+    wait(now)                   how long to wait, and what is due now: probes, a request for the list, moves,
+                                tries to be given up
 
 What the node observes goes in by hosts_listed, list_failed, report, load_note, delay_note, quiet, standing
 and left, which return nothing. The types of all of these are in larchlatch/links.py. Times are whole
@@ -82,6 +83,7 @@
 X0_WEIGHT = 0.5  # weight of probed load against own links for each node: it sees every node's
 NOTED = 0.1  # weight of a new figure in the running mean of a link's load
 ASK_US = SECOND // 2  # first pause after a failed list request; doubles
+LOOK_US = 250_000  # between two looks for tries that later ones have overtaken: short against expected times
 LOST_US = 10 * SECOND  # a list request without an answer for so long is taken for lost
 
 
@@ -177,6 +179,9 @@
         self.terms = terms
         self.uniform = chance.uniform
         self.hosts: dict[int, Host] = {}
+        self.tries: dict[int, Link] = {}  # links whose setup tries are out, in the order of their sending
+        self.overtaken_by = 0  # when the last of the tries that came to stand was sent
+        self.overtaken_at = 0  # when to look next for tries sent before that
         self.settling: deque[Link] = deque()  # links that have just come to stand, oldest first
         # Of the last links, not of the open ones alone: one node of hundreds holds too few to tell by.
         self.lately: deque[int] = deque(maxlen=LATELY)  # what the last links that came to stand were kin to
@@ -450,6 +455,7 @@
         self.pace.rest_until = now + self.pace.rest
         host.add(link)
         link.host, link.out, link.sent_at = host.number, True, now
+        self.tries[link.number] = link
         link.tries += 1
 
     # What to do after this outcome.
@@ -457,7 +463,9 @@
     def outcome(self, now: int, link: Link, what: Outcome, done: bool = False) -> Answer:
         """After an outcome of the link's setup try; done: the client has its final answer already."""
         host = self.hosts[link.host]
+        self.tries.pop(link.number, None)
         if what is Outcome.STANDS:
+            self.overtaken_by = max(self.overtaken_by, link.sent_at)
             link.open, link.out, link.stood_at = True, False, now
             host.unreached = False
             self.settling.append(link)
@@ -609,6 +617,7 @@
 
     def left(self, now: int, link: Link) -> None:
         """The client is gone, or its link is no longer this node's."""
+        self.tries.pop(link.number, None)
         if link.host >= 0:
             self.hosts[link.host].remove(link)
 
@@ -622,6 +631,12 @@
             self.look_at = now + SECOND
             probes, moves = self.probes(now), self.moves(now)
         wait = self.look_at - now
+        withdrawn = []
+        if self.tries and self.terms.cancels:
+            if now >= self.overtaken_at:
+                self.overtaken_at = now + LOOK_US
+                withdrawn = self.overtaken(now)
+            wait = min(wait, self.overtaken_at - now)
         ask = False
         if self.terms.asked_list and not self.listening:
             if self.asking and now >= self.ask_at + LOST_US:
@@ -631,7 +646,25 @@
                 self.ask_at = now
             elif not self.asking:
                 wait = min(wait, self.ask_at - now)
-        return Due(wait, probes, ask, moves)
+        return Due(wait, probes, ask, moves, withdrawn)
+
+    def overtaken(self, now: int) -> list[int]:
+        """Links that had better be tried elsewhere: tries sent an expected time after theirs have stood."""
+        # What all setups depend on would hold those up as well. A host that has lost one never answers it:
+        # its client would wait till the cut-off, and fail.
+        late = []
+        for link in self.tries.values():
+            tariff = self.terms.tariffs[link.tariff]
+            if link.sent_at >= self.overtaken_by:
+                break
+            # By less than that a queue may hand them over in another order than they came.
+            ahead = self.overtaken_by - link.sent_at >= tariff.expected_us
+            if ahead and tariff.repeat is Repeat.RERUNNABLE and link.tries < self.terms.most_tries:
+                late.append(link)
+        for link in late:
+            del self.tries[link.number]
+            self.hosts[link.host].judge(now, False, link.sent_at)
+        return [link.number for link in late]
 
     def probes(self, now: int) -> list[int]:
         """Hosts to be probed: a link waits to know its load, it is on probation, or it is watched."""
--- a/larchlatch/links.py
+++ b/larchlatch/links.py
@@ -68,6 +68,7 @@
     sized: bool  # a listed size stays the same from list to list
     asked_list: bool
     probes: bool
+    cancels: bool  # a try may be given up before its time
     probe_tells_load: bool
     late_told: bool  # a host that is late by its load shows in the delay of messages
     most_tries: int
@@ -132,3 +133,4 @@
     probes: list[int]
     ask_list: bool
     moves: list[int]
+    withdrawn: list[int]  # links whose tries are given up now; the outcome is told as of any other
--- a/larchlatch/node/module.py
+++ b/larchlatch/node/module.py
@@ -154,6 +154,11 @@
             if number in self.hands:
                 log.debug("moved", key=self.hands[number].opening.key)
                 self.hands[number].move.set()
+        for number in due.withdrawn:
+            hand = self.hands.get(number)
+            if hand is not None and hand.attempt is not None:
+                self.counters.add("try withdrawn")
+                hand.attempt.cancel()
         if due.ask_list and self.listing is not None:
             self.listing.ask()
         return due.wait_us
--- a/larchlatch/terms.py
+++ b/larchlatch/terms.py
@@ -68,6 +68,7 @@
         sized=conf.get("weights") in ("nominal", "rough"),
         asked_list=need(conf, "discovery", str, top) == "on_request",
         probes=probes,
+        cancels=bool(caps.get("cancel")),
         probe_tells_load=probes and telemetry.get("via") != "none" and "x0" in fields,
         late_told=bool(domain.get("tells_delay")),
         most_tries=need(caps, "most_setup_tries", int, f"{top}.caps"),
--- a/larchlatch/wirehost/loop.py
+++ b/larchlatch/wirehost/loop.py
@@ -155,6 +155,9 @@
         due = self.brain.wait(now)
         self.actions.extend(["POLL", self.names[host]] for host in due.probes)
         self.actions.extend(["REASSIGN", self.handles[number]] for number in due.moves)
+        for number in due.withdrawn:
+            handle = self.handles[number]
+            self.actions.append(["REVOKE", handle, self.in_hand[handle].tries - 1])
         if due.ask_list:
             self.actions.append(["TAIL", True])
         wake = now + due.wait_us
--- a/tests/ground.py
+++ b/tests/ground.py
@@ -58,6 +58,7 @@
     sized=True,
     asked_list=False,
     probes=False,
+    cancels=False,
     probe_tells_load=False,
     late_told=True,
     most_tries=6,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from larchlatch.brain import LOOK_US
 from larchlatch.links import DONE, SHED, Link, Outcome, State
 from tests.ground import SECOND, Ground, line
 
@@ -425,3 +426,25 @@
         assert ground.out.get(link.number) != 0
         if link.number in ground.out:
             ground.end(link, Outcome.STANDS)
+
+
+def test_a_try_that_later_ones_have_overtaken_is_given_up_for_another_host() -> None:
+    """A host that has lost a setup never answers it: its client would wait till the cut-off, and fail."""
+    for tariff, overtaken, withdrawn in ((0, True, True), (0, False, False), (4, True, False)):
+        ground = Ground(cancels=True)
+        stuck = ground.arrive(key=1, tariff=tariff, cut_off=3 * SECOND)
+        first = ground.out[stuck.number]
+        for wait in (SECOND // 10, SECOND // 2):
+            assert not ground.brain.wait(ground.now).withdrawn, "a little later is no sign"
+            ground.run(wait)
+            later = ground.arrive(key=2, cut_off=3 * SECOND)
+            if overtaken:
+                ground.end(later, Outcome.STANDS)
+        ground.now += LOOK_US
+        due = ground.brain.wait(ground.now)
+        assert (stuck.number in due.withdrawn) is withdrawn
+        if withdrawn:
+            ground.end(stuck, Outcome.CANCELLED)
+            assert ground.out[stuck.number] != first
+            ground.now += LOOK_US
+            assert not ground.brain.wait(ground.now).withdrawn
