A host over its capacity is relieved where the others have room by their sizes

Checked in the verbose log: a small host is probed at 1.1 to 1.25 for six seconds, filled by links that are handed over in mid-flow to their master (half of them stood elsewhere), while a host of four times its size is at 0.35 to 0.56. At fault: brain.py report held the figure against a plain mean in which it counts itself. Ruled out: late probes alone (there were two). Kept: only over its capacity.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -568,10 +568,17 @@
             # Asked for more than it can do, a host may answer at once and yet serve nobody in time.
             # But where all are as full it would only hand them round.
             level = self.probed_loads(now)
-            if x0 > max(EDGE, UNEVEN * sum(level) / len(level)) and not self.terms.late_told:
+            bar = min(sum(level) / len(level) * UNEVEN, max(1.0, UNEVEN * self.others(now, host)))
+            if x0 > max(EDGE, bar) and not self.terms.late_told:
                 # It has to lose what it is over by, and a little more; then it is looked at again.
                 self.slow(now, host, 1 + (x0 - EDGE) / MOVE_SHARE, MOVE_US)
 
+    def others(self, now: int, host: Host) -> float:
+        """What the other hosts bear by their sizes, as told of late: a large one with room takes much."""
+        told = [h for h in self.hosts.values() if h.state is State.READY and now < h.x0_at + STALE_US]
+        size = sum(h.size for h in told if h is not host)
+        return sum(h.x0 * h.size for h in told if h is not host) / size if size else host.x0
+
     def load_note(self, now: int, link: Link, load: float) -> None:
         """A link's load as it is now, in microseconds of work a second."""
         host = self.hosts[link.host] if link.host >= 0 else None
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -448,3 +448,15 @@
             assert ground.out[stuck.number] != first
             ground.now += LOOK_US
             assert not ground.brain.wait(ground.now).withdrawn
+
+
+def test_a_small_host_over_its_capacity_is_relieved_where_a_large_one_has_room() -> None:
+    """Among a few hosts its own figure lifts the mean: held against that it would stay full for good."""
+    for large, relieved in ((0.4, True), (0.9, False)):
+        ground = Ground(hosts=0, probes=True, probe_tells_load=True, late_told=False)
+        ground.relist(line(0, size=1.5), line(1, size=1.5), line(2, size=6.0))
+        for number in range(60):
+            ground.brain.standing(ground.now, Link(number, 0, number + 1, None, 0), number % 3)
+        for number, load in ((2, large), (1, 1.0), (0, 1.15)):
+            ground.brain.report(ground.now, number, True, load)
+        assert bool(ground.brain.wait(ground.now).moves) is relieved
