The list gets through: no whole list for a version's jump, requests back off with jitter

The settings there say on_request. Probe: with pauses of 4 to 8 s many got through at once, so the service is not down but overbooked by the nodes' own requests, dead ones too; its lines came 0.21 s apart. In that probe a drain was broken: node n15 sent 0.79 s after it was told, as it was waiting for a whole list (fetched for a jump of the version on the watch) with the drain unread behind it. Ruled out: discovery down for good; the agent's own pauses (they are Brain's, ask_gap).

At fault: Listing.watched took a line over several versions for a gap, though a line holds all that changed since the one before; Brain.list_failed capped its pause at a quarter of the asking time, with little spread. Now jumps are followed; a version that runs back wants the whole list; pauses are drawn from 0 up to twice the asking time (four times are granted after a failed request). Pushed lists are watched anew likewise, up to 4 s.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -82,7 +82,7 @@
 STALE_US = 10 * SECOND  # a probed load older than this is forgotten
 X0_WEIGHT = 0.5  # weight of probed load against own links for each node: it sees every node's
 NOTED = 0.1  # weight of a new figure in the running mean of a link's load
-ASK_US = SECOND // 2  # first pause after a failed list request; doubles
+ASK_US = SECOND  # the longest first pause after a failed list request; doubles
 LOOK_US = 250_000  # between two looks for tries that later ones have overtaken: short against expected times
 LOST_US = 10 * SECOND  # a list request without an answer for so long is taken for lost
 
@@ -552,8 +552,8 @@
         """A list request failed, or the subscription was lost."""
         # Without a subscription a drain is never heard of, yet held to be known: ask on, ever more slowly.
         self.listening = self.asking = False
-        self.ask_at = now + int(self.uniform(0.5, 1.0) * self.ask_gap)
-        self.ask_gap = min(self.terms.ask_within_us // 4, 2 * self.ask_gap)
+        self.ask_at = now + int(self.uniform(0, self.ask_gap))
+        self.ask_gap = min(2 * self.terms.ask_within_us, 2 * self.ask_gap)
 
     def report(self, now: int, number: int, answered: bool, x0: float | None) -> None:
         """A probe's result."""
--- a/larchlatch/node/lifecycle/run.py
+++ b/larchlatch/node/lifecycle/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import random
 import signal
 from pathlib import Path
 
@@ -58,8 +59,9 @@
     """Serve by this plan, read from that file, until told to stop; says on which port once it can."""
     counters = Counters()
     room = Room(plan.sockets)
-    module = Module(plan.terms, plan.zones, plan.seed, plan.reach, room, counters)
-    listing = Listing(plan.discovery, plan.known.revision, plan.pushed, counters, module.post)
+    chance = random.Random(plan.seed)
+    module = Module(plan.terms, plan.zones, chance, plan.reach, room, counters)
+    listing = Listing(plan.discovery, plan.known.revision, plan.pushed, counters, module.post, chance.uniform)
     module.listing = listing
     ready = anyio.Event()
     door = Door(module, plan.tariffs, plan.tenants, plan.longest_wait_us, room, counters, ready)
--- a/larchlatch/node/listing.py
+++ b/larchlatch/node/listing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from contextlib import suppress
 
 import anyio
@@ -15,7 +16,8 @@
 
 PATH = "/catalog/members"
 SILENCE_S = 3.0  # a watch says something every 2 s: a second later it is connected anew
-AGAIN_S = 0.25  # before connecting again: a list missed for long sends links to hosts that are gone
+AGAIN_S = 0.5  # the longest first pause before connecting again: a list missed for long sends links astray
+LONGEST_AGAIN_S = 4.0  # pauses double up to this: what changes counts as told after 6 s at the latest
 
 log = structlog.get_logger()
 
@@ -25,13 +27,21 @@
     where the settings say that changes are pushed."""
 
     def __init__(
-        self, address: tuple[str, int], revision: int, pushed: bool, counters: Counters, post: Post
+        self,
+        address: tuple[str, int],
+        revision: int,
+        pushed: bool,
+        counters: Counters,
+        post: Post,
+        uniform: Callable[[float, float], float],
     ) -> None:
         self.address = address
         self.revision = revision
         self.pushed = pushed
         self.counters = counters
         self.post = post
+        self.uniform = uniform
+        self.again_s = AGAIN_S
         self.whole = False  # the next list is to be the whole one
         self.watching = anyio.CancelScope()
         self.fresh = anyio.Event()  # the first word from discovery itself has come
@@ -58,11 +68,13 @@
                 continue  # by follow, which has asked already
             await self.post(ListFailed())
             if self.pushed:
-                await anyio.sleep(AGAIN_S)
+                # All nodes lose it together, and would ask together for ever: each after a pause of its own.
+                await anyio.sleep(self.uniform(0, self.again_s))
+                self.again_s = min(LONGEST_AGAIN_S, 2 * self.again_s)
                 self.ask()
 
     async def tell(self, told: catalog.Members) -> None:
-        self.revision = told.revision
+        self.revision, self.again_s = told.revision, AGAIN_S
         self.counters.add("list whole" if told.whole else "list change")
         await self.post(ListTold(told, asked=True))
         self.fresh.set()
@@ -73,13 +85,15 @@
             if self.whole:
                 await self.tell(await catalog.fetch(self.address, PATH, SILENCE_S))
                 self.whole = False
-            first = True
             async for told in catalog.watch(self.address, PATH, self.revision, SILENCE_S):
-                # A version left out, or one that runs back: what was missed would never be heard of.
-                gap = told.revision <= self.revision or (not first and told.revision > self.revision + 1)
-                if gap and not told.whole:
-                    told = await catalog.fetch(self.address, PATH, SILENCE_S)
-                first = False
+                # A line holds all that changed since the one before, whatever versions lie between. A whole
+                # list fetched for each jump is one more call on a service that all nodes ask, and while it
+                # waits its turn the watch is not read: a drain that has come counts as told.
+                if told.revision < self.revision and not told.whole:
+                    # It runs back: what the new count lacks would never be heard of. Asked for anew.
+                    self.whole = True
+                    self.counters.add("list ran back")
+                    return
                 await self.tell(told)
         except BadInput as error:
             # Nonsense from discovery is no list: the node works on with the one it has.
--- a/larchlatch/node/module.py
+++ b/larchlatch/node/module.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-import random
+from random import Random
 
 import anyio
 import structlog
@@ -30,9 +30,9 @@
 
 class Module:
     def __init__(
-        self, terms: Terms, zones: list[str], seed: int, reach: Reach, room: Room, counters: Counters
+        self, terms: Terms, zones: list[str], chance: Random, reach: Reach, room: Room, counters: Counters
     ) -> None:
-        self.brain = Brain(terms, random.Random(seed))
+        self.brain = Brain(terms, chance)
         self.zones = {name: place for place, name in enumerate(zones)}
         self.reach = reach
         self.room = room
