Fresh hosts are filled: links have them by chance, by what probes tell that fills them

At fault: Brain.in_budget gave a cold host to one node of 40 a second, which seldom had a link just then, and Brain.crowded counted a cold host as crowded for half its warm-up (own load over its warmth). Now probes tell how many links fill a host (inflight over x0), the same for every node; besides the turn's one link others have it by a chance that keeps the budget even if every node has as many links in hand.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -81,6 +81,8 @@
 GLANCE_US = 25_000  # a new link waits this long for its candidates' probes: a round trip between zones
 STALE_US = 10 * SECOND  # a probed load older than this is forgotten
 X0_WEIGHT = 0.5  # weight of probed load against own links for each node: it sees every node's
+TOLD = 0.1  # probed load from which a host's links tell how many fill it: below, a few of them decide
+SAFE = 0.75  # of the stated multiple of a cold host's capacity: the rest is for what is guessed of it
 NOTED = 0.1  # weight of a new figure in the running mean of a link's load
 ASK_US = SECOND  # the longest first pause after a failed list request; doubles
 LOOK_US = 250_000  # between two looks for tries that later ones have overtaken: short against expected times
@@ -136,6 +138,7 @@
         self.move_at = 0
         self.x0 = 0.0
         self.x0_at = -STALE_US
+        self.fills = 0.0  # links that fill it, by its last probe that told; 0: not known
         self.probed_at = -STALE_US
         self.seen = 0  # own links there when it was last probed
         self.turn = -1  # the turn at a fresh host in which `spent` was spent
@@ -185,6 +188,7 @@
         self.settling: deque[Link] = deque()  # links that have just come to stand, oldest first
         # Of the last links, not of the open ones alone: one node of hundreds holds too few to tell by.
         self.lately: deque[int] = deque(maxlen=LATELY)  # what the last links that came to stand were kin to
+        self.asked: deque[int] = deque()  # when links were first asked for within a cold host's window
         self.ring: list[int] = []  # its points in order, each with its host's number in the low bits
         self.look_at = 0  # when a host may next have something due
         self.pace = Pace(MANY, NODE_REST_US, LONGEST_NODE_REST_US)
@@ -209,6 +213,9 @@
         # storm, and it does not end with its cause. Tries go out one by one until they succeed again.
         if now < self.pace.rest_until:
             return self.hold(now, link, self.pace.rest_until)
+        if now >= link.asked_at + self.terms.tip_after_us:
+            link.asked_at = now
+            self.asked.append(now)
         walk = (host for host in self.walk(link) if self.may_repeat(now, link, host))
         pair, others = self.pair(now, link, walk)
         if not pair and link.ran_at >= 0:
@@ -264,7 +271,7 @@
         # trouble that hits most hosts a link that strays from its group's hosts adds the group's own work to
         # one more host, until all drown in it; and one put on a slow host is one more that earns nothing.
         for host in others if self.wide_trouble(now) else chain(others, beyond):
-            if not self.absent(now, host) and self.fit(now, host) and self.in_budget(now, host, link):
+            if not self.absent(now, host) and self.fit(now, host) and self.in_budget(now, host, link, 1.0):
                 if not self.crowded(now, host, mean):
                     return host
                 fit.append(host)
@@ -295,9 +302,15 @@
         # Two hosts cannot bear a group that makes up a tenth of a large fleet's links: they would drop them
         # over and over. It spreads along the ring so that none gets more of it than a mean host bears in all,
         # each of its links with a pair of its own among these. Nodes that see it differ only in the last few.
+        return max(2, int(self.share(link) * self.ready()))
+
+    def share(self, link: Link) -> float:
+        """Of the last links, how many were kin to this one."""
         kin = self.kin(link)
-        share = self.lately.count(kin) / (len(self.lately) + PRIOR) if kin else 0.0
-        return max(2, int(share * sum(host.state is State.READY for host in self.hosts.values())))
+        return self.lately.count(kin) / (len(self.lately) + PRIOR) if kin else 0.0
+
+    def ready(self) -> int:
+        return sum(host.state is State.READY for host in self.hosts.values())
 
     def kin(self, link: Link) -> int:
         """What a link shares a place on the ring with others by: its group, else its key; 0: nothing."""
@@ -363,27 +376,48 @@
         age = max(0, now - host.came_up) / terms.cold_us
         return terms.cold_from + (1 - terms.cold_from) * age
 
-    def in_budget(self, now: int, host: Host, link: Link) -> bool:
-        """Whether a host that may still be cold can take one more link from this node now."""
+    def in_budget(self, now: int, host: Host, link: Link, share: float = 0.0) -> bool:
+        """Whether a host that may still be cold can take one more link from this node now; share: of all
+        links, those that may want it too, where it is not one of the link's own candidates."""
         warmth = self.warmth(now, host)
         if warmth >= 1.0:
             return True
         # A crowd at a cold host tips it over for good, and no node sees what the others send: so the nodes
         # take turns at it by their own number, one window each, and each keeps the whole budget of its turn.
         turn = (now - host.came_up) // self.terms.tip_after_us
-        if turn % self.terms.nodes != self.terms.me:
+        budget = self.turn_budget(now, host, warmth)
+        known, spent = self.fills(host) > 0, host.spent if host.turn == turn else 0.0
+        if turn % self.terms.nodes == self.terms.me and spent < (1.0 if known else max(1.0, budget)):
+            return True
+        if not known or spent >= budget - 1:
             return False
-        return (host.spent if host.turn == turn else 0.0) < max(1.0, self.turn_budget(now, host, warmth))
+        # Where each of many nodes sees few links most turns pass unused, and others fill up beside an empty
+        # host. What fills it, told by probes, is the same for all: so other links have it by chance,
+        # by so much that it holds should every node have as many in hand as this one; room for chance is kept
+        # by a root. The chance is the link's own for the window: asked again, or come again at another node,
+        # it draws no second time.
+        while self.asked and now >= self.asked[0] + self.terms.tip_after_us:
+            self.asked.popleft()
+        share = share or min(1.0, 2 / max(1, self.ready()) + self.share(link))
+        wanted = self.terms.nodes * max(1, len(self.asked)) * share * self.weight(link)
+        draw = xxh3_64_intdigest(host.name.encode(), ((link.key or link.number) + turn) % 2**64)
+        return bool(draw * wanted < (budget**0.5 - 1) ** 2 * 2**64)
 
     def turn_budget(self, now: int, host: Host, warmth: float) -> float:
-        """Links for one turn: half the stated multiple of what fills a host to the warm ones' level."""
+        """Links for one turn, of the stated multiple of what fills a host or brings it level with others."""
         terms = self.terms
-        warm = [h for h in self.hosts.values() if h.state is State.READY and self.warmth(now, h) >= 1.0]
-        size = sum(h.size for h in warm)
-        if not size:
-            return 0.0
-        borne = terms.nodes * sum(len(h.open) for h in warm) / size * host.size
-        return 0.5 * terms.tip_multiple * warmth * borne * terms.tip_after_us / terms.cold_us
+        borne = self.fills(host)
+        safe = SAFE if borne else SAFE / 2
+        if not borne:
+            warm = [h for h in self.hosts.values() if h.state is State.READY and self.warmth(now, h) >= 1.0]
+            size = sum(h.size for h in warm)
+            borne = terms.nodes * sum(len(h.open) for h in warm) / size * host.size if size else 0.0
+        return safe * terms.tip_multiple * warmth * borne * terms.tip_after_us / terms.cold_us
+
+    def fills(self, host: Host) -> float:
+        """How many links fill a host of this size, by what probes of others told; 0 where none did."""
+        told = [h.fills / h.size for h in self.hosts.values() if h.fills]
+        return sum(told) / len(told) * host.size if told else 0.0
 
     def weight(self, link: Link) -> float:
         """A link's load in usual links."""
@@ -440,7 +474,8 @@
         """Whether a host bears far more of this node's links than the others: a hot key, or bad luck."""
         if now < host.x0_at + PROBE_US and host.x0 > FULL:
             return True
-        return self.own(now, host, mean) > HOT
+        # What a cold host can't do yet is its budget's matter: it would be crowded for half its warm-up.
+        return self.own(now, host, mean) * self.warmth(now, host) > HOT
 
     def fit(self, now: int, host: Host) -> bool:
         return now >= host.slow_until and now >= host.rest_until
@@ -555,8 +590,10 @@
         self.ask_at = now + int(self.uniform(0, self.ask_gap))
         self.ask_gap = min(2 * self.terms.ask_within_us, 2 * self.ask_gap)
 
-    def report(self, now: int, number: int, answered: bool, x0: float | None) -> None:
-        """A probe's result."""
+    def report(
+        self, now: int, number: int, answered: bool, x0: float | None, held: float | None = None
+    ) -> None:
+        """A probe's result; x0: its load over what it can do, held: the links there, where told."""
         host = self.hosts[number]
         host.unreached = not answered
         if host.unreached and now < host.quiet_until:
@@ -565,6 +602,8 @@
             host.judge(now, answered, host.probed_at)
         if x0 is not None:
             host.x0, host.x0_at = x0, now
+            if held and x0 >= TOLD and self.warmth(now, host) >= 1.0:
+                host.fills = held / x0
             # Asked for more than it can do, a host may answer at once and yet serve nobody in time.
             # But where all are as full it would only hand them round.
             level = self.probed_loads(now)
--- a/larchlatch/links.py
+++ b/larchlatch/links.py
@@ -95,6 +95,7 @@
     host: int = -1  # where the last setup try went, or where the link stands
     out: bool = False  # a setup try is out
     open: bool = False  # the link stands on its host
+    asked_at: int = -(2**62)  # when it was last counted among those asked for
     sent_at: int = 0
     stood_at: int = 0  # when it came to stand
     ran_at: int = -1  # when the first try that may have run was sent; -1: none may have
--- a/larchlatch/node/module.py
+++ b/larchlatch/node/module.py
@@ -106,8 +106,8 @@
                     brain.delay_note(now, hand.link, delay)
             case words.Quiet(host):
                 brain.quiet(now, host)
-            case words.Probed(host, answered, x0):
-                brain.report(now, host, answered, x0)
+            case words.Probed(host, answered, x0, held):
+                brain.report(now, host, answered, x0, held)
             case words.ListTold(members, asked):
                 self.listed(now, members, asked)
             case words.ListFailed():
--- a/larchlatch/node/peer.py
+++ b/larchlatch/node/peer.py
@@ -229,28 +229,30 @@
 
     async def probe(self) -> None:
         began = now_us()
-        answered, x0 = await self.probed()
+        said = await self.probed()
+        answered = said is not None
+        x0, held = said if said is not None else (None, None)
         self.counters.add("probe answered" if answered else "probe failed")
-        log.debug("probed", host=self.name, answered=answered, x0=x0, us=now_us() - began)
-        await self.post(Probed(self.number, answered, x0))
+        log.debug("probed", host=self.name, answered=answered, x0=x0, held=held, us=now_us() - began)
+        await self.post(Probed(self.number, answered, x0, held))
 
-    async def probed(self) -> tuple[bool, float | None]:
+    async def probed(self) -> say.Pong | None:
         # The connection kept from the last probe may have died unseen: that says nothing of the host now.
         for fresh in (self.look is None, True):
             if self.look is None:
                 made = await connect(self.address, self.reach.dial_us / 1e6)
                 if isinstance(made, Unconnected):
-                    return False, None
+                    return None
                 self.look = made
             look = self.look
             said = await self.looked(look)
             if isinstance(said, say.Pong):
-                return True, said.x0
+                return said
             self.look = None
             await look.close()
             if fresh or not isinstance(said, Ending):
                 break
-        return False, None
+        return None
 
     async def looked(self, look: Lines) -> say.Said | Ending | None:
         with anyio.move_on_after(PROBE_S):
--- a/larchlatch/node/wire/lines.py
+++ b/larchlatch/node/wire/lines.py
@@ -126,6 +126,7 @@
     """A probe's answer, with the load over capacity where the host told it."""
 
     x0: float | None
+    held: float | None  # the links that it holds, where it told
 
 
 class Other(NamedTuple):
@@ -148,7 +149,8 @@
         load = number_of(rest.decode("latin-1"))
         return Other() if load is None else Load(load)
     if word == b"PONG":
-        return Pong(report_of(rest.decode("latin-1")).get("x0"))
+        report = report_of(rest.decode("latin-1"))
+        return Pong(report.get("x0"), report.get("inflight"))
     return PLAIN.get(word, Other())
 
 
--- a/larchlatch/node/words.py
+++ b/larchlatch/node/words.py
@@ -63,6 +63,7 @@
     host: int
     answered: bool
     x0: float | None
+    held: float | None
 
 
 class ListTold(NamedTuple):
--- a/larchlatch/wirehost/loop.py
+++ b/larchlatch/wirehost/loop.py
@@ -107,8 +107,14 @@
         elif name == "ECHO":
             code, _, host, report = values
             answered = known(code, codec.OUTCOMES, "ECHO: state_code") == Outcome.ENDED
-            load = (report or {}).get("x0")
-            brain.report(now, self.host(host), answered, None if load is None else float(load))
+            load, held = (report or {}).get("x0"), (report or {}).get("inflight")
+            brain.report(
+                now,
+                self.host(host),
+                answered,
+                None if load is None else float(load),
+                None if held is None else float(held),
+            )
         elif name == "CLIENT_GONE":
             found = self.in_hand.get(values[0])
             if found is not None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -72,6 +72,54 @@
     assert all(sum(at <= other < at + SECOND for other in sends) <= 2 for at in sends)
 
 
+@pytest.mark.parametrize("calm", [True, False])
+@pytest.mark.parametrize(("nodes", "links", "least"), [(10, 30, 8), (40, 8, 8), (200, 2, 2), (200, 8, 8)])
+def test_a_fresh_host_is_filled_where_each_node_sees_few_links_but_never_over(
+    nodes: int, links: int, least: int, calm: bool
+) -> None:
+    """By turns alone it stays empty beside full ones; were each node's own links all that counted, a crowd
+    at all nodes at once would push it over."""
+    full, sends = 100.0, []
+    for me in range(nodes):
+        ground = Ground(nodes=nodes, me=me, seed=me, hosts=4, probes=True, probe_tells_load=True)
+        start = ground.now
+        ground.relist(line(9, came_up=start))
+        ground.run(10 * SECOND // links * me // nodes if calm else 0)
+        for number in range(links):
+            for host in ground.lines:
+                ground.brain.report(ground.now, host, True, 0.05 if host == 9 else 0.5, held=full / 2)
+            link = ground.arrive(key=1 + 1000 * me + number)
+            ground.run(SECOND // 100)  # its candidates are probed
+            ground.run(10 * SECOND // links - SECOND // 100)
+            if link.number in ground.out:
+                ground.end(link, Outcome.STANDS)
+        sends += [at - start for at, host in ground.cold_sends if host == 9]
+    terms = ground.terms
+    # What a host may be sent in a second, as it warms evenly: the stated multiple of what fills it meanwhile.
+    rate = terms.tip_multiple * full * SECOND / terms.cold_us
+
+    def allowed(at: int) -> float:
+        return rate * (terms.cold_from + (1 - terms.cold_from) * at / terms.cold_us)
+
+    assert all(sum(at <= other < at + SECOND for other in sends) <= allowed(at) for at in sends)
+    # Ten seconds hold ten turns, most of them of nodes that have no link then.
+    assert not calm or len(sends) >= least
+
+
+def test_a_client_that_comes_again_draws_no_second_time_for_a_fresh_host() -> None:
+    """Held links are asked again many times a second, and a shed client comes to the next node: were it a
+    new chance each time, the crowd that waits would all get in."""
+    taken = []
+    for me in range(30):
+        ground = Ground(nodes=1000, me=900 + me, hosts=1, probes=True, probe_tells_load=True)
+        ground.brain.report(ground.now, 0, True, 0.5, held=50)
+        ground.relist(line(9, came_up=ground.now - SECOND))
+        link = ground.arrive(key=7)
+        host = ground.brain.hosts[9]
+        taken.append([ground.brain.in_budget(ground.now, host, link) for _ in range(100)])
+    assert len({tuple(row) for row in taken}) == 1 and len(set(taken[0])) == 1
+
+
 def test_same_ring_on_every_node_and_local_remapping() -> None:
     one, other = Ground(seed=1, hosts=8), Ground(seed=2, hosts=8, me=1)
     before = {key: one.arrive(key).host for key in range(1, 200)}
