A cold host's budget follows what probes show; no moves to hosts that can't take the link

By probes (links held over x0) a fresh host could do about half as much again as the stated slowest warm-up says. 51 links were moved in one second towards cold hosts that had no budget for them, and came back to where they were. At fault: turn_budget took the slowest warm-up for granted; moves took a cold candidate for room.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -138,7 +138,8 @@
         self.move_at = 0
         self.x0 = 0.0
         self.x0_at = -STALE_US
-        self.fills = 0.0  # links that fill it, by its last probe that told; 0: not known
+        self.able = 0.0  # links that fill it, by its last probe that told; 0: not known
+        self.fills = 0.0  # the same where it was warm by then
         self.probed_at = -STALE_US
         self.seen = 0  # own links there when it was last probed
         self.turn = -1  # the turn at a fresh host in which `spent` was spent
@@ -173,6 +174,7 @@
         if line.came_up > self.came_up and line.state is State.READY:
             self.recent.clear()  # a new start: what the old process did says nothing of it
             self.rest = self.rest_until = self.slow_until = self.quiet_until = 0
+            self.able = self.fills = 0.0
         self.name, self.zone, self.cell, self.state = line.name, line.zone, line.cell, line.state
         self.size, self.came_up = line.size, line.came_up
 
@@ -407,12 +409,15 @@
         """Links for one turn, of the stated multiple of what fills a host or brings it level with others."""
         terms = self.terms
         borne = self.fills(host)
-        safe = SAFE if borne else SAFE / 2
+        safe = SAFE
         if not borne:
+            safe = SAFE / 2
             warm = [h for h in self.hosts.values() if h.state is State.READY and self.warmth(now, h) >= 1.0]
             size = sum(h.size for h in warm)
             borne = terms.nodes * sum(len(h.open) for h in warm) / size * host.size if size else 0.0
-        return safe * terms.tip_multiple * warmth * borne * terms.tip_after_us / terms.cold_us
+        # The stated warm-up is the slowest: what a probe has shown of this host holds on, as it only grows.
+        able = max(warmth * borne, min(host.able, borne))
+        return safe * terms.tip_multiple * able * terms.tip_after_us / terms.cold_us
 
     def fills(self, host: Host) -> float:
         """How many links fill a host of this size, by what probes of others told; 0 where none did."""
@@ -602,8 +607,9 @@
             host.judge(now, answered, host.probed_at)
         if x0 is not None:
             host.x0, host.x0_at = x0, now
-            if held and x0 >= TOLD and self.warmth(now, host) >= 1.0:
-                host.fills = held / x0
+            if held and x0 >= TOLD:
+                host.able = held / x0
+                host.fills = host.able if self.warmth(now, host) >= 1.0 else 0.0
             # Asked for more than it can do, a host may answer at once and yet serve nobody in time.
             # But where all are as full it would only hand them round.
             level = self.probed_loads(now)
@@ -766,7 +772,8 @@
                 if room <= 0 or (place >= 0 and 2 * len(slow) > len(ready)):
                     break
                 if place < 0 or any(
-                    self.fit(now, h) for h in self.pair(now, members[0], self.walk(members[0]))[0]
+                    self.fit(now, h) and self.in_budget(now, h, members[0])
+                    for h in self.pair(now, members[0], self.walk(members[0]))[0]
                 ):
                     moved += members[:room]
                     room -= len(members)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -120,6 +120,42 @@
     assert len({tuple(row) for row in taken}) == 1 and len(set(taken[0])) == 1
 
 
+def test_what_a_probe_shows_of_a_cold_host_counts_where_it_warms_faster_than_stated() -> None:
+    """The stated warm-up is the slowest: a fleet half of whose hosts are new can't wait for it. A host is
+    never held to be able to do more than a warm one of its size, nor what it could before a new start."""
+    ground = Ground(nodes=40, hosts=4, probes=True, probe_tells_load=True)
+    brain, start = ground.brain, ground.now
+    for number in range(4):
+        brain.report(start, number, True, 0.5, held=50)
+    ground.relist(line(9, came_up=start))
+    host = brain.hosts[9]
+    stated = brain.turn_budget(start, host, brain.warmth(start, host))
+    brain.report(start, 9, True, 0.05, held=40)  # too few to tell by
+    assert brain.turn_budget(start, host, brain.warmth(start, host)) == stated
+    brain.report(start, 9, True, 0.5, held=20)
+    assert brain.turn_budget(start, host, brain.warmth(start, host)) == pytest.approx(2 * stated)
+    brain.report(start, 9, True, 0.5, held=500)
+    assert brain.turn_budget(start, host, brain.warmth(start, host)) == pytest.approx(5 * stated)
+    ground.relist(line(9, came_up=start + SECOND))
+    assert brain.turn_budget(start + SECOND, host, brain.warmth(start + SECOND, host)) == stated
+
+
+def test_links_are_not_moved_towards_a_fresh_host_that_can_not_take_them() -> None:
+    """They would come back to the host that they were moved off, and cost a set-up each time."""
+    ground = Ground(hosts=1, nodes=2, me=0)
+    links = [ground.arrive(key=key) for key in range(1, 40)]
+    for link in links:
+        ground.end(link, Outcome.STANDS)
+    ground.now += SECOND
+    ground.relist(line(9, came_up=ground.now - 3 * SECOND), line(8, State.DRAINING))
+    for _ in range(4):  # half of these seconds are the other node's turn at the fresh host
+        ground.brain.delay_note(ground.now, links[0], 400_000)
+        moves = ground.brain.wait(ground.now).moves
+        in_turn = (ground.now - ground.lines[9].came_up) // SECOND % 2 == 0
+        assert bool(moves) == in_turn
+        ground.now += SECOND
+
+
 def test_same_ring_on_every_node_and_local_remapping() -> None:
     one, other = Ground(seed=1, hosts=8), Ground(seed=2, hosts=8, me=1)
     before = {key: one.arrive(key).host for key in range(1, 200)}
