--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -18,7 +18,7 @@
 from bisect import bisect_right
 from collections import deque
 from collections.abc import Iterable, Iterator
-from itertools import chain
+from itertools import chain, islice
 from random import Random
 
 from xxhash import xxh3_64_intdigest
@@ -292,22 +292,20 @@
 
     def pair(self, now: int, link: Link, walk: Iterable[Host]) -> tuple[list[Host], list[Host]]:
         """The master and the second candidate on a walk, and the others that a large group spreads to."""
-        # Two hosts cannot bear a group that makes up a tenth of a large fleet's links: they would drop them
-        # over and over. It spreads along the ring so that none gets more of it than it bears in all by its
-        # size, each of its links with a pair of its own among these; two small hosts are worth less than two
-        # large ones. Nodes that see its share differently differ only in the last few.
-        sizes = [host.size for host in self.hosts.values() if host.state is State.READY]
-        room, mean = self.share(link) * sum(sizes), sum(sizes) / max(1, len(sizes))
-        pool: list[Host] = []
-        there = (host for host in walk if not self.absent(now, host))
-        while (len(pool) < 2 or room >= mean) and (host := next(there, None)) is not None:
-            pool.append(host)
-            room -= host.size
-        if len(pool) > 2:
+        reach = self.reach(link)
+        pool = list(islice((host for host in walk if not self.absent(now, host)), reach))
+        if reach > 2:
             key = (link.key or 0) % 2**64
             pool.sort(key=lambda host: xxh3_64_intdigest(host.name.encode(), key))
         return pool[:2], pool[2:]
 
+    def reach(self, link: Link) -> int:
+        """Over how many hosts a link's group spreads."""
+        # Two hosts cannot bear a group that makes up a tenth of a large fleet's links: they would drop them
+        # over and over. It spreads along the ring so that none gets more of it than a mean host bears in all,
+        # each of its links with a pair of its own among these. Nodes that see it differ only in the last few.
+        return max(2, int(self.share(link) * self.ready()))
+
     def share(self, link: Link) -> float:
         """Of the last links, how many were kin to this one."""
         kin = self.kin(link)
