--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -477,11 +477,8 @@
 
     def crowded(self, now: int, host: Host, mean: float) -> bool:
         """Whether a host bears far more of this node's links than the others: a hot key, or bad luck."""
-        if now < host.x0_at + PROBE_US and host.x0 > EDGE:
-            # At the edge only where others have room: else links would only stray from host to host.
-            level = self.probed_loads(now)
-            if host.x0 > min(FULL, UNEVEN * sum(level) / len(level)):
-                return True
+        if now < host.x0_at + PROBE_US and host.x0 > FULL:
+            return True
         # What a cold host can't do yet is its budget's matter: it would be crowded for half its warm-up.
         return self.own(now, host, mean) * self.warmth(now, host) > HOT
 
