--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -193,7 +193,6 @@
         self.asked: deque[int] = deque()  # when links were first asked for within a cold host's window
         self.ring: list[int] = []  # its points in order, each with its host's number in the low bits
         self.look_at = 0  # when a host may next have something due
-        self.round_at = 0  # when to look next at a host that no own link touches
         self.pace = Pace(MANY, NODE_REST_US, LONGEST_NODE_REST_US)
         self.noted = 0.0  # running mean of noted loads
         self.listening = False  # a list subscription stands
@@ -725,14 +724,6 @@
             return []
         gaps = {h: gap for h in self.hosts.values() if h.state is State.READY and (gap := self.probe_gap(h))}
         due = [host for host, gap in gaps.items() if now >= host.probed_at + gap]
-        # One node of many touches few hosts, the full ones more than the empty: by these alone it would take
-        # a host at its edge for a mean one, and never find those with room.
-        if self.terms.probe_tells_load and not self.terms.late_told and now >= self.round_at:
-            self.round_at = now + WATCH_US
-            ready = [host for host in self.hosts.values() if host.state is State.READY]
-            unseen = [host for host in ready if host not in gaps and now >= host.probed_at + STALE_US]
-            if 2 * len(unseen) > len(ready):
-                due.append(unseen[int(self.uniform(0, len(unseen)))])
         for host in due:
             host.probed_at, host.wanted, host.seen = now, False, len(host.open)
         self.look_at = min([self.look_at, *(host.probed_at + gap for host, gap in gaps.items())])
