Windows of links asked for are forgotten as links come: they grew without a cold host

Seen on rereading: Brain.asked was emptied only where a cold host was asked about, so it kept a figure for each link of a node's life elsewhere. Now at each link; the test fails without it.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -215,6 +215,8 @@
         # storm, and it does not end with its cause. Tries go out one by one until they succeed again.
         if now < self.pace.rest_until:
             return self.hold(now, link, self.pace.rest_until)
+        while self.asked and now >= self.asked[0] + self.terms.tip_after_us:
+            self.asked.popleft()
         if now >= link.asked_at + self.terms.tip_after_us:
             link.asked_at = now
             self.asked.append(now)
@@ -385,7 +387,8 @@
         if warmth >= 1.0:
             return True
         # A crowd at a cold host tips it over for good, and no node sees what the others send: so the nodes
-        # take turns at it by their own number, one window each, and each keeps the whole budget of its turn.
+        # take turns at it by their own number, one window each, and each keeps the whole budget of its turn,
+        # or one link where what fills a host is known.
         turn = (now - host.came_up) // self.terms.tip_after_us
         budget = self.turn_budget(now, host, warmth)
         known, spent = self.fills(host) > 0, host.spent if host.turn == turn else 0.0
@@ -398,8 +401,6 @@
         # by so much that it holds should every node have as many in hand as this one; room for chance is kept
         # by a root. The chance is the link's own for the window: asked again, or come again at another node,
         # it draws no second time.
-        while self.asked and now >= self.asked[0] + self.terms.tip_after_us:
-            self.asked.popleft()
         share = share or min(1.0, 2 / max(1, self.ready()) + self.share(link))
         wanted = self.terms.nodes * max(1, len(self.asked)) * share * self.weight(link)
         draw = xxh3_64_intdigest(host.name.encode(), ((link.key or link.number) + turn) % 2**64)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -156,6 +156,15 @@
         ground.now += SECOND
 
 
+def test_what_counts_links_asked_for_forgets_those_of_earlier_windows() -> None:
+    """It would grow with every link for as long as the node lives, on a fleet that has no cold host."""
+    ground = Ground()
+    for number in range(200):
+        ground.end(ground.arrive(key=number), Outcome.ENDED)
+        ground.run(SECOND // 10)
+    assert len(ground.brain.asked) <= 11
+
+
 def test_same_ring_on_every_node_and_local_remapping() -> None:
     one, other = Ground(seed=1, hosts=8), Ground(seed=2, hosts=8, me=1)
     before = {key: one.arrive(key).host for key in range(1, 200)}
