--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -427,6 +427,41 @@
     on_loopback(body)
 
 
+def test_a_host_replaced_under_a_new_id_at_its_address_takes_links_and_keeps_its_standing_ones() -> None:
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP echo").start(tasks)
+        gone, fresh = member(0, hosts.addresses[0], "terminated"), member(7, hosts.addresses[0])
+        replaced = {"revision": 3, "complete": False, "members": [gone, fresh]}
+        discovery = await Discovery([NEWS], [replaced], []).start(tasks)
+        port = await serving(tasks, configuration(hosts.addresses, discovery.port))
+        standing = await opened(port, key="stands")
+        assert await standing.line() == b"UP echo\r\n"
+        await until(lambda: len(discovery.asked) >= 3)
+        later = await opened(port, key="later")
+        assert await later.line() == b"UP echo\r\n"
+        await standing.send(b"still there\r\n")
+        assert await standing.line() == b"still there\r\n"
+
+    on_loopback(body)
+
+
+def test_a_node_with_an_old_list_of_hosts_mostly_gone_serves_by_those_left() -> None:
+    """Discovery tells nothing: each gone host costs a refused connection or two, not a link's whole time."""
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP echo").start(tasks)
+        hosts.addresses = ["127.0.0.1:1"] * 9 + hosts.addresses
+        port = await started(tasks, hosts)
+        answers = []
+        for number in range(20):
+            client = await opened(port, key=f"k{number}")
+            answers.append(await client.line())
+        assert answers[-10:] == [b"UP echo\r\n"] * 10
+        assert hosts.most_out == 1
+
+    on_loopback(body)
+
+
 def test_sigterm_moves_standing_links_bit_by_bit_and_ends(tmp_path: Path) -> None:
     """All at once they would come back as a crowd; cut off without a word they would be lost."""
 
