--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -83,6 +83,7 @@
 X0_WEIGHT = 0.5  # weight of probed load against own links for each node: it sees every node's
 TOLD = 0.1  # probed load from which a host's links tell how many fill it: below, a few of them decide
 SAFE = 0.75  # of the stated multiple of a cold host's capacity: the rest is for what is guessed of it
+GUESSED = 0.5  # the same where not even what fills it is told, but guessed from own links on warm hosts
 NOTED = 0.1  # weight of a new figure in the running mean of a link's load
 ASK_US = SECOND  # the longest first pause after a failed list request; doubles
 LOOK_US = 250_000  # between two looks for tries that later ones have overtaken: short against expected times
@@ -412,7 +413,7 @@
         borne = self.fills(host)
         safe = SAFE
         if not borne:
-            safe = SAFE / 2
+            safe = GUESSED
             warm = [h for h in self.hosts.values() if h.state is State.READY and self.warmth(now, h) >= 1.0]
             size = sum(h.size for h in warm)
             borne = terms.nodes * sum(len(h.open) for h in warm) / size * host.size if size else 0.0
