An operators' door and a drain, by one state that SIGTERM, PING and the door share

At fault: nothing listened at control.

control.py answers with h11; lifecycle/phase.py, without I/O, says who is welcome, paces moves by the time really passed and turns links away that would have to leave at once. One accept loop on a raw socket: a cancelled accept can no longer drop a connection.

--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import socket
 from itertools import count
 
 import anyio
 import structlog
-from anyio.abc import SocketStream
 from xxhash import xxh3_64_intdigest
 
 from larchlatch.links import Link, Outcome
 from larchlatch.node.clock import now_us
+from larchlatch.node.lifecycle.phase import Phase
 from larchlatch.node.memory.counters import Counters
 from larchlatch.node.memory.hand import Delivered, GivenUp, Hand, Shed
 from larchlatch.node.memory.room import Room
@@ -18,12 +19,14 @@
 from larchlatch.node.peer import Try
 from larchlatch.node.relay import Ended, Relay, Side
 from larchlatch.node.wire import lines as say
+from larchlatch.node.wire.listen import stream_of
 from larchlatch.node.wire.stream import Ending, Lines
 from larchlatch.node.words import Arrived, Left, Tried
 
 FIRST_LINE_S = 2.5  # a client is owed a word 3 s after it has connected, whatever it sends or does not
 PINGED_S = 10.0  # a front that has asked whether this node serves may ask again within this
 MOVE_S = 0.5  # a client that does not read so long is cut off: it can't be told to move
+BACK_US = 200_000  # a client that a drained node sheds comes back through a front that knows by then
 LAG_US = 150_000  # the answer leaves so much before the cut-off: a node in a crowd took 0.1 s to pass one on
 LAG_SHARE = 10  # but no more than a tenth of a short cut-off
 
@@ -42,6 +45,7 @@
         room: Room,
         counters: Counters,
         ready: anyio.Event,
+        phase: Phase,
     ) -> None:
         self.module = module
         self.tariffs = {name: place for place, name in enumerate(tariffs)}
@@ -50,24 +54,29 @@
         self.room = room
         self.counters = counters
         self.ready = ready  # set once the node can serve
+        self.phase = phase
         self.numbers = count()
         self.idents: dict[str, Hand] = {}  # the links in hand or standing here by their clients' ids
         self.standing: dict[int, Hand] = {}
         self.in_hand = 0  # links taken that are not over
 
-    async def serve(self, stream: SocketStream) -> None:
+    async def serve(self, sock: socket.socket) -> None:
         """One connection, from its first line to its end; nothing that goes wrong leaves here."""
-        client = Lines(stream)
+        client: Lines | None = None
         try:
+            client = Lines(await stream_of(sock))
             await self.served(client)
         except Exception:
             self.counters.add("connection failed")
             log.exception("a client's connection failed")
-            if not client.spoken_to:
+            if client is not None and not client.spoken_to:
                 await client.send(say.FAILED)
                 await client.finish(Ending.END)
         finally:
-            await client.close()
+            if client is not None:
+                await client.close()
+            else:
+                sock.close()
             self.room.give()
 
     async def served(self, client: Lines) -> None:
@@ -100,7 +109,7 @@
         with anyio.move_on_after(FIRST_LINE_S) as scope, self.room.saying_nothing(scope):
             while (line := await client.line()) == say.PING:
                 await self.ready.wait()
-                await client.send(say.PONG)
+                await client.send(say.PONG if self.phase.welcome else say.NO)
                 scope.deadline = anyio.current_time() + PINGED_S
             return line
         return None
@@ -133,7 +142,9 @@
         self.in_hand += 1
         self.idents[hand.opening.ident] = hand
         at = hand.opening.standing_at
-        if at is None:
+        if at is None and self.phase.turns_away(anyio.current_time()):
+            hand.settle(Shed(BACK_US))
+        elif at is None:
             await self.module.post(Arrived(hand))
         else:
             number = self.module.numbers.get(at)
--- a/larchlatch/node/lifecycle/plan.py
+++ b/larchlatch/node/lifecycle/plan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -14,6 +15,7 @@
 from larchlatch.terms import NUMBER, BadInput, need, terms_of
 
 DIAL_US = 250_000  # where the settings name no time for connecting
+CONTROL = "EDGE_CONTROL"  # in the environment: the door's address where the configuration names none
 SOCKETS = 1024  # where no limit is named: what most systems grant a process
 
 
@@ -24,6 +26,7 @@
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
+    control: tuple[str, int] | None  # where operators call; None: no door
     seed: int
     sockets: int
     known: Members
@@ -46,11 +49,13 @@
         raise BadInput(f"configuration: no JSON ({error})") from None
     if not isinstance(raw, dict):
         raise BadInput("configuration: not an object")
-    return plan_from(raw)
+    return plan_from(raw, os.environ.get(CONTROL))
 
 
-def plan_from(raw: dict[str, Any]) -> Plan:
+def plan_from(raw: dict[str, Any], control: str | None = None) -> Plan:
+    """The plan; control: where the operators' door is where the configuration does not say."""
     top = "configuration"
+    listen = address_of(need(raw, "listen", str, top), f"{top}: listen")
     settings = need(raw, "settings", dict, top)
     # On sockets nobody tells the delay that a host's load makes: it answers lines at once as long as it runs.
     terms = replace(terms_of(settings, "settings"), late_told=False)
@@ -67,8 +72,9 @@
     known = raw.get("known")
     return Plan(
         name=need(raw, "name", str, top),
-        listen=address_of(need(raw, "listen", str, top), f"{top}: listen"),
+        listen=listen,
         discovery=address_of(need(raw, "discovery", str, top), f"{top}: discovery"),
+        control=control_of(raw, control, listen),
         seed=number,
         sockets=need(limits, "sockets", int, f"{top}: limits") if "sockets" in limits else SOCKETS,
         known=members_of(known, "known") if known is not None else Members(0, True, []),
@@ -94,6 +100,20 @@
     )
 
 
+def control_of(raw: dict[str, Any], named: str | None, listen: tuple[str, int]) -> tuple[str, int] | None:
+    top = "configuration: control"
+    if raw.get("control") is not None:
+        text = need(raw, "control", str, "configuration")
+    elif named:
+        text, top = named, CONTROL
+    else:
+        return None
+    address = address_of(text, top)
+    if address == listen and address[1]:
+        raise BadInput(f"{top}: the address where clients are taken ({text})")
+    return address
+
+
 def names_of(rows: Any, item: str) -> list[str]:
     names = []
     for place, row in enumerate(rows):
--- a/larchlatch/node/wire/lines.py
+++ b/larchlatch/node/wire/lines.py
@@ -8,6 +8,7 @@
 LONGEST = 4096  # bytes a line may have, its end included
 PING = b"PING\r\n"
 PONG = b"PONG\r\n"
+NO = b"NO\r\n"
 STATS = b"STATS\r\n"
 MOVE = b"MOVE\r\n"
 FAILED = b"ERR\r\n"
--- a/tests/ground.py
+++ b/tests/ground.py
@@ -282,6 +282,9 @@
                 await link.send(got)
             elif answer == "UP half":
                 await link.send(b"half a li")
+            elif answer == "UP flood":  # more than any buffer between holds
+                while await link.send(b"x" * 4000 + b"\r\n"):
+                    pass
         self.out -= not standing
         self.ended += 1
         await link.close()
@@ -346,15 +349,15 @@
 
 
 @asynccontextmanager
-async def process(path: Path) -> AsyncIterator[Running]:
-    """A node that serves by this configuration."""
+async def process(path: Path, event: str = "serving") -> AsyncIterator[Running]:
+    """A node by this configuration that has logged this event."""
     command = [sys.executable, "-B", "-m", "larchlatch", "serve"]
     made = await anyio.open_process(
         command, env={**os.environ, "EDGE_CONFIG": str(path)}, stderr=subprocess.STDOUT
     )
     try:
         running = Running(made)
-        running.port = (await running.told("serving"))["listen"][1]
+        running.port = (await running.told(event))["listen"][1]
         yield running
     finally:
         if made.returncode is None:
@@ -362,6 +365,29 @@
         await made.aclose()
 
 
+DOORS = count(1)  # an address of its own for each node's door, which no other program takes
+
+
+def door_address() -> str:
+    return f"127.77.{os.getpid() % 250 + 1}.{next(DOORS)}:9600"
+
+
+async def call(address: str, what: str, more: str = "") -> tuple[int, str]:
+    """One call at an operators' door: its status, and all of its answer."""
+    host, _, port = address.rpartition(":")
+    caller = Lines(await anyio.connect_tcp(host, int(port)))
+    await caller.send(f"{what} HTTP/1.1\r\nHost: door\r\n{more}\r\n".encode())
+    return await answered(caller)
+
+
+async def answered(caller: Lines) -> tuple[int, str]:
+    text = ""
+    while not isinstance(some := await caller.some(), Ending):
+        text += b"".join(some).decode()
+    await caller.close()
+    return int(text.split()[1]) if text else 0, text
+
+
 def port_of(listener: Any) -> int:
     return int(listener.extra(SocketAttribute.local_port))
 
