Upgrade: the new process is handed the listening socket and each standing link

At SIGTERM both connections of each standing link go over between two lines (relay.py stops after what it has read is sent), paced by the same phase. What can't be passed on is moved.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -20,6 +20,7 @@
 from collections.abc import Iterable, Iterator
 from itertools import chain, islice
 from random import Random
+from typing import Any
 
 from xxhash import xxh3_64_intdigest
 
@@ -90,6 +91,11 @@
 LOST_US = 10 * SECOND  # a list request without an answer for so long is taken for lost
 
 
+# What a host has shown, for the next process of this node; its links are told apart from this.
+SEEN = ("x0", "able", "fills", "strain", "late", "unreached", "rest", "turn", "spent", "came_up")
+SEEN_AT = ("x0_at", "probed_at", "strain_at", "slow_until", "quiet_until", "rest_until", "rested_at")
+
+
 class Pace:
     """How fast setup tries may go out, by the successes among the last few; to one host, or to all."""
 
@@ -200,6 +206,7 @@
         self.asking = False  # a list request is out
         self.ask_at = 0
         self.ask_gap = ASK_US
+        self.ceded = False  # another process of this node places what is new
         self.strictest = min((t.message_us for t in terms.tariffs if t.message_us), default=0)
 
     # Where to send this link.
@@ -385,8 +392,9 @@
         """Whether a host that may still be cold can take one more link from this node now; share: of all
         links, those that may want it too, where it is not one of the link's own candidates."""
         warmth = self.warmth(now, host)
-        if warmth >= 1.0:
-            return True
+        # What another process of this node spends of its budget is not seen here: only one of them has it.
+        if warmth >= 1.0 or self.ceded:
+            return warmth >= 1.0
         # A crowd at a cold host tips it over for good, and no node sees what the others send: so the nodes
         # take turns at it by their own number, one window each, and each keeps the whole budget of its turn,
         # or one link where what fills a host is known.
@@ -673,6 +681,31 @@
         if link.host >= 0:
             self.hosts[link.host].remove(link)
 
+    # What the next process of the same node has to know.
+
+    def learned(self) -> dict[str, Any]:
+        """What was seen of the hosts and of the demand, and what was spent at cold ones, in plain values."""
+        rows = {h.name: {item: getattr(h, item) for item in SEEN + SEEN_AT} for h in self.hosts.values()}
+        return {"hosts": rows, "asked": list(self.asked), "noted": self.noted}
+
+    def recall(self, learned: dict[str, Any], shift: int) -> None:
+        """Go on from that; shift: this clock less the one by which it was told."""
+        told = {
+            host: {item: type(getattr(host, item))(row[item]) for item in SEEN + SEEN_AT}
+            for host in self.hosts.values()
+            if (row := learned["hosts"].get(host.name)) and row["came_up"] == host.came_up
+        }
+        asked, noted = [int(at) + shift for at in learned["asked"]], float(learned["noted"])
+        # Only now, when all of it was readable.
+        for host, values in told.items():
+            for item, value in values.items():
+                setattr(host, item, value + shift if item in SEEN_AT else value)
+        self.asked, self.noted = deque(asked), noted
+
+    def cede(self, on: bool) -> None:
+        """Another process of this node places what is new, or does no more."""
+        self.ceded = on
+
     # How long to wait.
 
     def wait(self, now: int) -> Due:
--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from itertools import count
 
 import anyio
@@ -19,9 +21,10 @@
 from larchlatch.node.peer import Try
 from larchlatch.node.relay import Ended, Relay, Side
 from larchlatch.node.wire import lines as say
+from larchlatch.node.wire import passing
 from larchlatch.node.wire.listen import stream_of
 from larchlatch.node.wire.stream import Ending, Lines
-from larchlatch.node.words import Arrived, Left, Tried
+from larchlatch.node.words import Arrived, Left, Stood, Tried
 
 FIRST_LINE_S = 2.5  # a client is owed a word 3 s after it has connected, whatever it sends or does not
 PINGED_S = 10.0  # a front that has asked whether this node serves may ask again within this
@@ -30,6 +33,10 @@
 LAG_US = 150_000  # the answer leaves so much before the cut-off: a node in a crowd took 0.1 s to pass one on
 LAG_SHARE = 10  # but no more than a tenth of a short cut-off
 
+# Hands a standing link over to another process of this node; False where that went wrong, and the link is
+# still here.
+Successor = Callable[[Hand, Lines, Lines, Outcome], Awaitable[bool]]
+
 log = structlog.get_logger()
 
 
@@ -59,6 +66,9 @@
         self.idents: dict[str, Hand] = {}  # the links in hand or standing here by their clients' ids
         self.standing: dict[int, Hand] = {}
         self.in_hand = 0  # links taken that are not over
+        self.unheard = 0  # connections that have sent no whole line yet
+        self.successor: Successor | None = None  # another process of this node, which goes on with links
+        self.elsewhere: set[str] = set()  # ids of links that the process before this one has in hand
 
     async def serve(self, sock: socket.socket) -> None:
         """One connection, from its first line to its end; nothing that goes wrong leaves here."""
@@ -96,7 +106,7 @@
                 await self.refuse(client, "unknown tariff")
             elif opening.tenant is not None and self.tenants and opening.tenant not in self.tenants:
                 await self.refuse(client, "unknown tenant")
-            elif opening.ident in self.idents:
+            elif opening.ident in self.idents or opening.ident in self.elsewhere:
                 # Hosts turn a doubled id away with an error: passed on, it would count as the host's failure.
                 await self.refuse(client, "id of an open link")
             elif client.ready and not opening.goes_on:
@@ -106,13 +116,21 @@
 
     async def first_line(self, client: Lines) -> bytes | Ending | None:
         """The line that says what the client wants; None where it says nothing in time."""
-        with anyio.move_on_after(FIRST_LINE_S) as scope, self.room.saying_nothing(scope):
-            while (line := await client.line()) == say.PING:
-                await self.ready.wait()
-                await client.send(say.PONG if self.phase.welcome else say.NO)
-                scope.deadline = anyio.current_time() + PINGED_S
-            return line
-        return None
+        self.unheard += 1
+        heard = False
+        try:
+            with anyio.move_on_after(FIRST_LINE_S) as scope, self.room.saying_nothing(scope):
+                while (line := await client.line()) == say.PING:
+                    if not heard:  # a front: whoever ends need not wait for it
+                        heard = True
+                        self.unheard -= 1
+                    await self.ready.wait()
+                    await client.send(say.PONG if self.phase.welcome else say.NO)
+                    scope.deadline = anyio.current_time() + PINGED_S
+                return line
+            return None
+        finally:
+            self.unheard -= not heard
 
     async def refuse(self, client: Lines, why: str) -> None:
         """An error at once, and the end."""
@@ -139,8 +157,6 @@
         """A link from its arrival, then, to its end."""
         self.counters.add("link taken")
         log.debug("taken", key=hand.opening.key, late_us=now_us() - now, wait_ms=hand.opening.wait_ms)
-        self.in_hand += 1
-        self.idents[hand.opening.ident] = hand
         at = hand.opening.standing_at
         if at is None and self.phase.turns_away(anyio.current_time()):
             hand.settle(Shed(BACK_US))
@@ -150,11 +166,11 @@
             number = self.module.numbers.get(at)
             if number is None or not self.module.peers[number].order(Try(hand, hand.link.cut_off)):
                 hand.settle(GivenUp())
-        try:
+        async with self.held(hand):
             early = await self.answer(client, hand)
             verdict = hand.verdict
             if isinstance(verdict, Delivered):
-                await self.stands(client, hand, verdict)
+                await self.delivered(client, hand, verdict)
             elif early is None:
                 shed = isinstance(verdict, Shed)
                 self.counters.add("link shed" if shed else "link given up")
@@ -162,10 +178,52 @@
                 await client.finish(Ending.END)
             else:
                 self.counters.add("link left early")
+
+    @asynccontextmanager
+    async def held(self, hand: Hand) -> AsyncIterator[None]:
+        """A link is in hand as long as this lasts."""
+        self.in_hand += 1
+        self.idents[hand.opening.ident] = hand
+        try:
+            yield
         finally:
             self.in_hand -= 1
             await self.let_go(hand)
 
+    async def resume(self, told: passing.Standing, socks: list[socket.socket]) -> None:
+        """A standing link that another process of this node hands over: both of its sides go on unbroken."""
+        sides: list[Lines] = []
+        try:
+            for sock, early in zip(socks, (told.client_early, told.host_early), strict=True):
+                sides.append(Lines(await stream_of(sock)))
+                sides[-1].feed(early)
+            client, host = sides
+            opening = say.opening_of(told.line)
+            number = self.module.numbers.get(told.host)
+            if isinstance(opening, say.BadLine) or opening.tariff not in self.tariffs or number is None:
+                self.counters.add("link not understood")
+                await client.send(say.MOVE)
+                await client.finish(Ending.END)
+                return
+            hand = self.hand(now_us(), opening)
+            hand.link.load, hand.asked_at = told.load, told.asked_at
+            hand.settle(Delivered(host, b"", number))
+            async with self.held(hand):
+                self.elsewhere.discard(opening.ident)
+                self.counters.add("link taken over")
+                await self.module.post(Stood(hand, number))
+                await self.stands(client, hand, Delivered(host, b"", number), Outcome(told.last))
+        except Exception:
+            self.counters.add("connection failed")
+            log.exception("a link could not be taken over")
+        finally:
+            for side in sides:
+                await side.close(reset=side is sides[-1])
+            for sock in socks[len(sides) :]:
+                sock.close()
+            for _ in socks:
+                self.room.give()
+
     async def let_go(self, hand: Hand) -> None:
         """Nothing of a link outlives its client's connection."""
         hand.gone = True
@@ -202,17 +260,34 @@
             tasks.cancel_scope.cancel()
         return None if hand.verdict is not None else early
 
-    async def stands(self, client: Lines, hand: Hand, verdict: Delivered) -> None:
-        """Pass on the host's line, then all others, until it is over."""
+    async def delivered(self, client: Lines, hand: Hand, verdict: Delivered) -> None:
+        """Pass on the host's line, then all others."""
         self.counters.add("link delivered")
+        try:
+            await self.stands(client, hand, verdict)
+        finally:
+            await verdict.host.close(reset=True)
+            self.room.give()
+
+    async def stands(
+        self, client: Lines, hand: Hand, verdict: Delivered, last: Outcome = Outcome.CUT
+    ) -> None:
+        """Pass on all lines until it is over; last: what the end of the host's side would mean."""
         peer = self.module.peers[verdict.peer]
         number = hand.link.number
         peer.standing[number] = self.standing[number] = hand
         host = verdict.host
         ended = Ended(Side.CLIENT, Ending.RESET, Outcome.CANCELLED)
         try:
-            if await client.send(verdict.line):
-                ended = await Relay(hand, client, host, peer).run()
+            if not verdict.line or await client.send(verdict.line):
+                relay = Relay(hand, client, host, peer, last)
+                hand.pass_on = relay.pass_on
+                ended = await relay.run()
+                if ended.side is Side.SUCCESSOR:
+                    if self.successor is not None and await self.successor(hand, client, host, relay.last):
+                        self.counters.add("link passed on")
+                        return
+                    ended = Ended(Side.NODE, Ending.END, Outcome.CANCELLED)
             del peer.standing[number]
             self.forget(hand)
             self.counters.add(f"link ended by {ended.side.value} ({ended.how.value})")
@@ -229,5 +304,3 @@
         finally:
             peer.standing.pop(number, None)
             del self.standing[number]
-            await host.close(reset=True)
-            self.room.give()
--- a/larchlatch/node/lifecycle/phase.py
+++ b/larchlatch/node/lifecycle/phase.py
@@ -4,6 +4,7 @@
 
 DRAIN_S = 4.0  # after so long no client's connection may be held that was not sent away
 CLOSE_S = 1.0  # a client that does not read takes so long to be rid of, a loop that lags included
+PASS_S = 1.5  # standing links are handed to the next process within this: each costs both some work
 STILL_S = 1.0  # a front still sends new links for a moment after the drain has begun; later ones are shed
 
 
@@ -33,6 +34,11 @@
     def leaving(self) -> bool:
         return self.draining or self.stopped_at is not None
 
+    @property
+    def hands_over(self) -> bool:
+        """Whether links that leave go to another process of this node, which goes on with them."""
+        return self.ceded and self.stopped_at is not None
+
     def drain(self, now: float) -> None:
         """Send clients away; told twice, the first time counts: the links' time runs from there."""
         if self.drained_at is None:
@@ -62,6 +68,8 @@
             ends.append(self.drained_at + DRAIN_S - CLOSE_S)
         if self.stopped_at is not None:
             ends.append(self.stopped_at + self.stop_s)
+        if self.hands_over and self.stopped_at is not None:  # a drain goes on over there
+            return min([*ends, self.stopped_at + PASS_S])
         return min(ends) if ends and not self.passes_through else None
 
     def leave(self, now: float, standing: int) -> int:
--- a/larchlatch/node/lifecycle/run.py
+++ b/larchlatch/node/lifecycle/run.py
@@ -15,6 +15,7 @@
 from larchlatch.node.clock import now_us
 from larchlatch.node.control import BACKLOG as DOOR_BACKLOG
 from larchlatch.node.control import Control
+from larchlatch.node.lifecycle.handover import Giving, Meeting, Taking
 from larchlatch.node.lifecycle.lag import Lag
 from larchlatch.node.lifecycle.phase import Phase
 from larchlatch.node.lifecycle.plan import Plan
@@ -37,22 +38,50 @@
 log = structlog.get_logger()
 
 
-async def accept(listener: Listener, door: Door, room: Room, tasks: TaskGroup) -> None:
-    while True:
-        if not room.take():
-            # Out of descriptors: who comes now waits in the backlog, which costs nothing.
-            door.counters.add("accepting paused")
-            while not room.take():
+class Entrance:
+    """Takes in clients while its gate is open."""
+
+    def __init__(self, listener: Listener, door: Door, room: Room, tasks: TaskGroup) -> None:
+        self.listener = listener
+        self.door = door
+        self.room = room
+        self.tasks = tasks
+        self.wide = anyio.Event()
+        self.scope = anyio.CancelScope()
+
+    def gate(self, wide: bool) -> None:
+        if wide:
+            self.wide.set()
+        else:
+            self.wide = anyio.Event()
+            self.scope.cancel()
+
+    async def run(self) -> None:
+        while True:
+            await self.wide.wait()
+            with anyio.CancelScope() as self.scope:
+                await self.accept()
+
+    async def accept(self) -> None:
+        while True:
+            if not self.room.take():
+                # Out of descriptors: who comes now waits in the backlog, which costs nothing.
+                self.door.counters.add("accepting paused")
+                while not self.room.take():
+                    await anyio.sleep(PAUSE_S)
+            sock = None
+            try:
+                sock = await self.listener.accept()
+            except NoAccept:
+                self.door.counters.add("accept failed")
+            finally:
+                if sock is None:
+                    self.room.give()
+            if sock is None:
                 await anyio.sleep(PAUSE_S)
-        try:
-            sock = await listener.accept()
-        except NoAccept:
-            room.give()
-            door.counters.add("accept failed")
-            await anyio.sleep(PAUSE_S)
-            continue
-        tasks.start_soon(door.serve, sock)
-        await anyio.lowlevel.checkpoint()  # a crowd that waits must not keep those from work who are in
+                continue
+            self.tasks.start_soon(self.door.serve, sock)
+            await anyio.lowlevel.checkpoint()  # a crowd that waits must not keep those from work who are in
 
 
 async def node(plan: Plan, path: Path, *, task_status: TaskStatus[int] = TASK_STATUS_IGNORED) -> None:
@@ -67,8 +96,6 @@
     ready = anyio.Event()
     phase = Phase(plan.longest_wait_us / 1e6 + GRANTED_S - SPARE_S, plan.passes_through)
     door = Door(module, plan.tariffs, plan.tenants, plan.longest_wait_us, room, counters, ready, phase)
-    # The list held from before comes first: old as it may be, links can be placed by it at once.
-    module.heard(now_us(), ListTold(plan.known, asked=False))
     with anyio.open_signal_receiver(*SIGNALS) as signals:
         async with anyio.create_task_group() as tasks:
             leaving = Leaving(phase, door, counters, tasks)
@@ -78,12 +105,37 @@
                 log.info("operators' door", listen=operators.address)
                 tasks.start_soon(Control(phase, leaving.drain, counters).run, operators)
             tasks.start_soon(lag.run)
+            meeting = Meeting.of(plan)
+            taking = None if meeting is None else await Taking.reached(plan, meeting, counters)
+            # The list held from before comes first: old as it may be, links can be placed by it at once.
+            held = plan.known
+            if taking is not None and taking.members.revision >= held.revision:
+                held = taking.members
+            listing.revision = held.revision
+            module.heard(now_us(), ListTold(held, asked=False))
             tasks.start_soon(module.run)
             tasks.start_soon(listing.run)
-            listener = Listener.bound(plan.listen, BACKLOG, shared=plan.control is not None)
-            tasks.start_soon(accept, listener, door, room, tasks)
+            if taking is not None:
+                listener = taking.listener
+            else:
+                listener = Listener.bound(plan.listen, BACKLOG, shared=plan.control is not None)
+            entrance = Entrance(listener, door, room, tasks)
+            tasks.start_soon(entrance.run)
+            if taking is None:
+                entrance.gate(True)
             with anyio.move_on_after(FIRST_LIST_S):
                 await listing.fresh.wait()
+            if taking is not None:
+                # The other process goes on taking what is new up to now, with a loop that is warm.
+                await taking.ceded(room, phase, module, door)
+                tasks.start_soon(taking.run, door, tasks)
+                entrance.gate(True)
+                if phase.draining:
+                    leaving.drain()
+            if meeting is not None:
+                giving = Giving(plan, meeting, phase, door, listener, counters)
+                giving.gate = entrance.gate
+                tasks.start_soon(giving.run)
             phase.ready = True
             ready.set()
             log.info("serving", node=plan.name, listen=listener.address, hosts=len(module.peers))
--- a/larchlatch/node/lifecycle/stop.py
+++ b/larchlatch/node/lifecycle/stop.py
@@ -9,9 +9,11 @@
 from larchlatch.node.client import Door
 from larchlatch.node.lifecycle.phase import Phase
 from larchlatch.node.memory.counters import Counters
+from larchlatch.node.memory.hand import Hand
 
 GRANTED_S = 0.7  # what PROTOCOL grants a node beyond the longest cut-off before it is ended
 SPARE_S = 0.4  # all is over this long before that: a moved link takes a moment to close
+PASSING_S = 0.4  # for a link to come to a stop between two lines: well under the second that one may be held
 STEP_S = 0.05  # between two rounds of moves
 
 log = structlog.get_logger()
@@ -37,20 +39,31 @@
         """Ends everything when nothing is in hand and the granted time is over."""
         log.info("stopping", links=len(self.door.standing))
         self.drain()
-        # Until the time is up new links may come through a front that has not noticed.
-        await anyio.sleep(self.phase.stop_s + SPARE_S)
-        while self.door.in_hand > 0:
+        until = anyio.current_time() + self.phase.stop_s + SPARE_S
+        # Until the time is up new links may come through a front that has not noticed, unless another process
+        # takes them; those that have connected here get their answer here.
+        while self.door.in_hand > 0 or (
+            anyio.current_time() < until and not (self.phase.hands_over and not self.door.unheard)
+        ):
             await anyio.sleep(STEP_S)
         self.tasks.cancel_scope.cancel()
 
     async def move(self) -> None:
+        asked: dict[Hand, float] = {}  # links that another process is to go on with, and since when
         while self.phase.leaving:
+            now = anyio.current_time()
+            standing = [h for h in self.door.standing.values() if not h.move.is_set() and h not in asked]
             # Where packets pass through none is due: links go on through other nodes.
-            standing = [hand for hand in self.door.standing.values() if not hand.move.is_set()]
-            due = standing[: self.phase.leave(anyio.current_time(), len(standing))]
-            if due:
-                self.counters.add("link sent away", len(due))
-            for hand in due:
+            for hand in standing[: self.phase.leave(now, len(standing))]:
+                if not self.phase.hands_over:
+                    self.counters.add("link sent away")
+                    hand.move.set()
+                elif hand.pass_on is not None:
+                    asked[hand] = now
+                    hand.pass_on()
+            # A side that does not read keeps its link from stopping between two lines: it has to be moved.
+            for hand in [hand for hand, at in asked.items() if now >= at + PASSING_S]:
+                del asked[hand]
                 hand.move.set()
             await anyio.sleep(STEP_S)
         self.moving = False
--- a/larchlatch/node/memory/hand.py
+++ b/larchlatch/node/memory/hand.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import anyio
@@ -39,6 +40,7 @@
         self.gone = False  # the client has left, or its link is over
         self.attempt: anyio.CancelScope | None = None  # the setup try that is out
         self.move = anyio.Event()
+        self.pass_on: Callable[[], None] | None = None  # stops a standing link for another process
         self.silent = False  # moved because its host said nothing any more
         self.stalled = False  # the client does not read what is sent to it
         self.asked_at = 0  # when the client sent the first line that has no answer yet; 0: none waits
--- a/larchlatch/node/memory/room.py
+++ b/larchlatch/node/memory/room.py
@@ -14,7 +14,7 @@
 
 class Room:
     def __init__(self, sockets: int) -> None:
-        self.free = max(2, sockets - RESERVE)
+        self.free = self.most = max(2, sockets - RESERVE)
         self.most_silent = max(FEWEST_SILENT, sockets // SILENT_SHARE - RESERVE)
         self.silent: dict[anyio.CancelScope, None] = {}  # oldest first
 
@@ -28,6 +28,15 @@
     def give(self) -> None:
         self.free += 1
 
+    def lend(self, number: int) -> None:
+        """Leave so many to another process of this node; fewer than none take some back."""
+        self.most -= number
+        self.free -= number
+
+    @property
+    def held(self) -> int:
+        return self.most - self.free
+
     @contextmanager
     def saying_nothing(self, scope: anyio.CancelScope) -> Iterator[None]:
         """As long as this lasts the scope may be cancelled for want of room."""
--- a/larchlatch/node/module.py
+++ b/larchlatch/node/module.py
@@ -4,6 +4,7 @@
 
 import heapq
 from random import Random
+from typing import Any
 
 import anyio
 import structlog
@@ -11,7 +12,7 @@
 
 from larchlatch import links
 from larchlatch.brain import Brain
-from larchlatch.links import Answer, Listed, Outcome, Terms
+from larchlatch.links import Answer, Listed, Outcome, State, Terms
 from larchlatch.node import words
 from larchlatch.node.clock import now_us, seconds_until
 from larchlatch.node.listing import Listing
@@ -19,7 +20,7 @@
 from larchlatch.node.memory.hand import GivenUp, Hand, Shed
 from larchlatch.node.memory.room import Room
 from larchlatch.node.peer import Peer, Probe, Reach, Try
-from larchlatch.node.wire.catalog import Members
+from larchlatch.node.wire.catalog import Member, Members
 
 TICK_US = 4_000  # held links are looked at together once in this: hundreds would each wake the loop by itself
 FAILED_US = 100_000  # before the decisions are asked again how long to wait, after they failed
@@ -39,6 +40,7 @@
         self.counters = counters
         self.numbers: dict[str, int] = {}  # hosts by name
         self.peers: dict[int, Peer] = {}
+        self.known: dict[str, Member] = {}  # what the list last said of each host
         self.hands: dict[int, Hand] = {}  # links in hand by number
         self.held: list[tuple[int, int]] = []  # when to ask again, link
         self.listing: Listing | None = None
@@ -163,11 +165,30 @@
             self.listing.ask()
         return due.wait_us
 
+    def cede(self, on: bool) -> dict[str, Any]:
+        """Another process of this node places what is new, or does no more; what it has to know."""
+        self.brain.cede(on)
+        return self.brain.learned()
+
+    def recall(self, learned: dict[str, Any], shift: int) -> None:
+        """What the process before this one learned; what can't be read costs knowledge alone."""
+        try:
+            self.brain.recall(learned, shift)
+        except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
+            self.counters.add("learned not understood")
+            log.warning("what the process before this one learned is not understood", why=repr(error))
+
+    def members(self) -> Members:
+        """The list as it is known here, hosts that are gone included: links may stand there still."""
+        revision = self.listing.revision if self.listing is not None else 0
+        return Members(revision, True, list(self.known.values()))
+
     def number(self, name: str) -> int:
         return self.numbers.setdefault(name, len(self.numbers))
 
     def listed(self, now: int, told: Members, asked: bool) -> None:
         for member in told.members:
+            self.known[member.name] = member
             number = self.number(member.name)
             log.debug("listed", host=member.name, state=member.state.name, up=member.came_up)
             peer = self.peers.get(number)
@@ -181,6 +202,11 @@
             log.debug(
                 "listed", host=member.name, state=member.state.name, size=member.size, up=member.came_up
             )
+        if told.whole:
+            named = {member.name for member in told.members}
+            for member in self.known.values():
+                if member.name not in named:
+                    self.known[member.name] = member._replace(state=State.GONE)
         lines = [
             Listed(
                 self.numbers[member.name],
--- a/larchlatch/node/relay.py
+++ b/larchlatch/node/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from enum import Enum
 from typing import NamedTuple
 
@@ -20,6 +21,7 @@
     CLIENT = "client"
     HOST = "host"
     NODE = "node"
+    SUCCESSOR = "successor"  # another process of this node goes on with it
 
 
 class Ended(NamedTuple):
@@ -31,13 +33,16 @@
 
 
 class Relay:
-    def __init__(self, hand: Hand, client: Lines, host: Lines, peer: Peer) -> None:
+    def __init__(self, hand: Hand, client: Lines, host: Lines, peer: Peer, last: Outcome) -> None:
         self.hand = hand
         self.client = client
         self.host = host
         self.peer = peer
-        self.last: Outcome = Outcome.CUT  # what the end of the host's side means
+        self.last = last  # what the end of the host's side means
         self.ended: Ended | None = None
+        self.reading: dict[Side, anyio.CancelScope] = {}
+        self.passing = False  # both directions are to stop at the end of a line
+        self.stopped: set[Side] = set()
 
     async def run(self) -> Ended:
         """Pass lines on until it ends; both sides are still open then, as far as they were."""
@@ -52,33 +57,50 @@
                 await self.hand.move.wait()
                 end(Side.NODE, Ending.END, Outcome.CUT if self.hand.silent else Outcome.CANCELLED)
 
-            async def up() -> None:
-                end(*await self.pass_up())
-
-            async def down() -> None:
-                end(*await self.pass_down())
+            async def one(side: Side, direction: Callable[[], Awaitable[Ended | None]]) -> None:
+                ended = await direction()
+                if ended is not None:
+                    end(*ended)
+                    return
+                self.stopped.add(side)
+                if len(self.stopped) == 2:
+                    end(Side.SUCCESSOR, Ending.END, Outcome.CANCELLED)
 
             tasks.start_soon(moved)
-            tasks.start_soon(up)
-            tasks.start_soon(down)
+            tasks.start_soon(one, Side.CLIENT, self.pass_up)
+            tasks.start_soon(one, Side.HOST, self.pass_down)
         assert self.ended is not None
         return self.ended
 
-    async def pass_up(self) -> Ended:
+    def pass_on(self) -> None:
+        """Stop between two lines, so that another process can go on."""
+        # Only the waiting is broken off: a line that has been read is sent before its direction stops.
+        self.passing = True
+        for scope in self.reading.values():
+            scope.cancel()
+
+    async def next(self, side: Side, lines: Lines) -> list[bytes] | Ending | None:
+        """The next lines of a side; None where another process is to read them."""
+        if self.passing:
+            return None
+        with anyio.CancelScope() as self.reading[side]:
+            return await lines.some()
+        return None
+
+    async def pass_up(self) -> Ended | None:
         """From the client to the host."""
-        while True:
-            some = await self.client.some()
+        while (some := await self.next(Side.CLIENT, self.client)) is not None:
             if isinstance(some, Ending):
                 return Ended(Side.CLIENT, some, Outcome.CANCELLED)
             if not self.hand.asked_at:
                 self.hand.asked_at = now_us()
             if not await self.host.send(b"".join(some)):
                 return Ended(Side.HOST, Ending.RESET, self.last)
+        return None
 
-    async def pass_down(self) -> Ended:
+    async def pass_down(self) -> Ended | None:
         """From the host to the client."""
-        while True:
-            some = await self.host.some()
+        while (some := await self.next(Side.HOST, self.host)) is not None:
             if isinstance(some, Ending):
                 return Ended(Side.HOST, some, self.last)
             for line in some:
@@ -97,3 +119,4 @@
             self.hand.stalled = False
             if not sent:
                 return Ended(Side.CLIENT, Ending.RESET, Outcome.CANCELLED)
+        return None
--- a/larchlatch/node/wire/catalog.py
+++ b/larchlatch/node/wire/catalog.py
@@ -70,6 +70,27 @@
     )
 
 
+def wire_form(told: Members) -> dict[str, Any]:
+    """A list in the form in which it is read."""
+    phases = {state: phase for phase, state in STATES.items()}
+    return {
+        "revision": told.revision,
+        "complete": told.whole,
+        "members": [
+            {
+                "id": member.name,
+                "host_port": f"{member.address[0]}:{member.address[1]}",
+                "locality": member.zone,
+                "cell": member.cell,
+                "phase": phases[member.state],
+                "size": member.size,
+                "up_since_ms": member.came_up // 1000,
+            }
+            for member in told.members
+        ],
+    }
+
+
 def decoded(line: bytes) -> Members:
     try:
         return members_of(orjson.loads(line), "list")
--- a/larchlatch/node/wire/lines.py
+++ b/larchlatch/node/wire/lines.py
@@ -93,6 +93,11 @@
     return f"{opening.before}{max(1, wait_us // 1000)}{opening.behind}\r\n".encode()
 
 
+def first_line(opening: Opening) -> bytes:
+    """The line as the client sent it."""
+    return try_line(opening, opening.wait_ms * 1000)
+
+
 def shed_line(back_us: int) -> bytes:
     return f"BUSY {-(-back_us // 1000)}\r\n".encode() if back_us > 0 else b"BUSY\r\n"
 
--- a/larchlatch/node/wire/stream.py
+++ b/larchlatch/node/wire/stream.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import errno
+import os
 import socket
 import struct
 from contextlib import suppress
 from enum import Enum
+from typing import Any
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
 from larchlatch.node.wire.lines import LONGEST
+from larchlatch.node.wire.listen import stream_of
 
 CHUNK = 16384  # bytes read at a time: many lines, and little memory for each of hundreds of links
 LAST_RECEIVED = 52  # bytes into Linux's tcp_info: milliseconds since the last data came
@@ -71,6 +74,33 @@
             if lines:
                 return [line + b"\n" for line in lines]
 
+    def feed(self, early: bytes) -> None:
+        """What another process of this node has read of this connection and not passed on."""
+        lines = early.split(b"\n")
+        self.tail = lines.pop()
+        self.ready = [line + b"\n" for line in lines]
+
+    def hand_out(self) -> tuple[int, bytes] | None:
+        """Its descriptor for another process, and what was read of it and not passed on; it is this one's no
+        more then. None where something still waits to be sent, or it has ended."""
+        # Nothing in anyio's interface tells of what it has read ahead: left behind, a line would be lost.
+        transport: Any = getattr(self.stream, "_transport")  # noqa: B009
+        protocol: Any = getattr(self.stream, "_protocol")  # noqa: B009
+        if self.closed or transport.is_closing() or protocol.exception or transport.get_write_buffer_size():
+            return None
+        fd = os.dup(self.stream.extra(SocketAttribute.raw_socket).fileno())
+        early = b"".join(self.ready) + self.tail + b"".join(protocol.read_queue)
+        # Closed without a word to the other side, which goes on with the process that has the copy.
+        self.closed = True
+        transport.abort()
+        return fd, early
+
+    async def take_back(self, fd: int, early: bytes) -> None:
+        """After all it is this process's own."""
+        self.stream = await stream_of(socket.socket(fileno=fd))
+        self.closed = False
+        self.feed(early)
+
     async def line(self) -> bytes | Ending:
         lines = await self.some()
         if isinstance(lines, Ending):
