Tests: upgrades with real processes, counted by clients and hosts, and their failures

Two upgrades on end under load (both modes), no line lost, descriptors of both within the limit, a drain that goes on, a new process that fails at five points, the old one killed halfway, stale files, packets cut at every byte, a cold host's budget spent once.

--- a/tests/ground.py
+++ b/tests/ground.py
@@ -333,6 +333,7 @@
         self.process = process
         self.log = BufferedByteReceiveStream(process.stdout)
         self.port = 0
+        self.door = ""  # where its operators call
 
     def signal(self, number: signal.Signals) -> None:
         self.process.send_signal(number)
@@ -349,11 +350,11 @@
 
 
 @asynccontextmanager
-async def process(path: Path, event: str = "serving") -> AsyncIterator[Running]:
+async def process(path: Path, event: str = "serving", **env: str) -> AsyncIterator[Running]:
     """A node by this configuration that has logged this event."""
     command = [sys.executable, "-B", "-m", "larchlatch", "serve"]
     made = await anyio.open_process(
-        command, env={**os.environ, "EDGE_CONFIG": str(path)}, stderr=subprocess.STDOUT
+        command, env={**os.environ, "EDGE_CONFIG": str(path), **env}, stderr=subprocess.STDOUT
     )
     try:
         running = Running(made)
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,451 @@
+"""One process of a node follows another: what clients and hosts see of it is counted by them alone."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import socket
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import anyio
+import orjson
+import pytest
+from anyio.abc import TaskGroup, UNIXSocketStream
+
+from larchlatch.brain import Brain
+from larchlatch.links import Link, Outcome
+from larchlatch.node.lifecycle.handover import Meeting, hello
+from larchlatch.node.lifecycle.plan import plan_from
+from larchlatch.node.wire.catalog import Member, Members
+from larchlatch.node.wire.lines import MOVE
+from larchlatch.node.wire.passing import Ceded, Channel, Hello, Packet, Serving, Standing, Welcome, encoded
+from larchlatch.node.wire.stream import Ending, Lines
+from larchlatch.terms import BadInput
+from tests.ground import (
+    SECOND,
+    TERMS,
+    Discovery,
+    Hosts,
+    Running,
+    call,
+    configuration,
+    door_address,
+    line,
+    on_loopback,
+    process,
+)
+from tests.test_node import NEWS
+
+READY = "GET /ops/readiness"
+
+
+class Site:
+    """A node's file, its shared folder, and clients that keep count of what they were answered."""
+
+    def __init__(self, tasks: TaskGroup, path: Path) -> None:
+        self.tasks = tasks
+        self.path = path
+        self.seen: Counter[str] = Counter()
+        self.number = 0
+
+    async def start(self, hosts: Hosts, **changes: Any) -> Site:
+        discovery = await Discovery([NEWS]).start(self.tasks)
+        self.raw = configuration(hosts.addresses, discovery.port, **changes)
+        self.raw["listen"] = door_address()
+        self.write()
+        return self
+
+    def write(self) -> None:
+        (self.path / "node.json").write_bytes(orjson.dumps(self.raw))
+
+    @asynccontextmanager
+    async def process(self) -> AsyncIterator[Running]:
+        door = door_address()
+        async with process(
+            self.path / "node.json", EDGE_CONTROL=door, TMPDIR=str(self.path), PYTHONUNBUFFERED="1"
+        ) as running:
+            running.door = door
+            yield running
+
+    async def opened(self) -> Lines:
+        host, _, port = self.raw["listen"].rpartition(":")
+        client = Lines(await anyio.connect_tcp(host, int(port)))
+        self.number += 1
+        await client.send(f"OPEN id{self.number} k{self.number} c=once,t=acme,d=2000,g=g\r\n".encode())
+        return client
+
+    async def talk(self, beat_s: float = 0.02) -> None:
+        """A client for as long as it is let: a line at a time, each to come back before the next."""
+        try:
+            client = await self.opened()
+            answer = await client.line()
+            self.seen["no answer" if isinstance(answer, Ending) else answer.split()[0].decode()] += 1
+            number = 0
+            while answer == b"UP echo\r\n":
+                number += 1
+                sent = f"line {number} of many\r\n".encode()
+                # In two pieces: a hand-over may come between them.
+                await client.send(sent[:6])
+                await anyio.sleep(beat_s)
+                await client.send(sent[6:])
+                got = await client.line()
+                if got != sent:
+                    self.seen["moved" if got == MOVE else "broken"] += 1
+                    return
+                self.seen["lines"] += 1
+        except OSError:
+            self.seen["turned back"] += 1
+
+    async def talk_once(self) -> None:
+        """One more client, which stays after its answer."""
+        answered = sum(self.seen[word] for word in ("UP", "no answer", "turned back"))
+        self.tasks.start_soon(self.talk)
+        while sum(self.seen[word] for word in ("UP", "no answer", "turned back")) == answered:
+            await anyio.sleep(0.01)
+
+    async def come(self, times: int) -> None:
+        for _ in range(times):
+            self.tasks.start_soon(self.talk)
+            await anyio.sleep(0.02)
+
+
+@pytest.mark.parametrize("mode", ["proxy", "pass"])
+def test_two_upgrades_on_end_under_load_touch_no_client(mode: str, tmp_path: Path) -> None:
+    """Exclusive links all along: each host counts what it is sent, each client what it is answered."""
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP echo").start(tasks, 3)
+        site = await Site(tasks, tmp_path).start(hosts, domain={"mode": mode})
+        async with site.process() as first:
+            for _ in range(15):
+                tasks.start_soon(site.talk)
+            tasks.start_soon(site.come, 100)
+            await anyio.sleep(0.3)
+            async with site.process() as second:
+                assert (await call(second.door, READY))[0] == 200
+                first.signal(signal.SIGTERM)
+                async with site.process() as third:
+                    second.signal(signal.SIGTERM)
+                    assert await first.ended() == 0
+                    assert await second.ended() == 0
+                    before = site.seen["lines"]
+                    await anyio.sleep(0.5)
+                    assert site.seen["lines"] > before + site.seen["UP"], "links that stand go on"
+                    assert (await call(third.door, READY))[0] == 200
+        seen = site.seen
+        assert set(seen) <= {"UP", "lines", "moved", "broken"}, "turned back or without an answer"
+        assert seen["UP"] >= 30 and seen["broken"] <= seen["UP"]
+        ids = Counter(line.split()[1] for _, line in hosts.lines)
+        assert max(ids.values()) == 1, "an exclusive link tried twice"
+        assert len(ids) == seen["UP"]
+
+    on_loopback(body)
+
+
+def test_no_line_is_lost_or_doubled_over_an_upgrade(tmp_path: Path) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP echo").start(tasks, 2)
+        site = await Site(tasks, tmp_path).start(hosts)
+        async with site.process() as first, anyio.create_task_group() as clients:
+            for _ in range(25):
+                clients.start_soon(site.talk, 0.005)
+            await anyio.sleep(0.3)
+            async with site.process():
+                first.signal(signal.SIGTERM)
+                assert await first.ended() == 0
+                assert site.seen["UP"] == 25 and set(site.seen) == {"UP", "lines"}
+                clients.cancel_scope.cancel()
+
+    on_loopback(body)
+
+
+def test_descriptors_of_both_together_keep_within_the_limit(tmp_path: Path) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP echo").start(tasks, 2)
+        site = await Site(tasks, tmp_path).start(hosts)
+        limit = site.raw["limits"]["sockets"] = 256
+        site.write()
+        most = 0
+
+        async def watch(*processes: Running) -> None:
+            nonlocal most
+            while True:
+                held = 0
+                for running in processes:
+                    with suppress(OSError):  # it has ended
+                        held += len(os.listdir(f"/proc/{running.process.pid}/fd"))
+                most = max(most, held)
+                await anyio.sleep(0.005)
+
+        async with site.process() as first, anyio.create_task_group() as clients:
+            for _ in range(140):  # more than there is room for: some wait, some are shed
+                clients.start_soon(site.talk, 0.2)
+            await anyio.sleep(1.0)
+            async with site.process() as second:
+                clients.start_soon(watch, first, second)
+                first.signal(signal.SIGTERM)
+                assert await first.ended() == 0
+                await anyio.sleep(0.5)
+                assert site.seen["moved"] == site.seen["broken"] == site.seen["turned back"] == 0
+                assert 100 < most <= limit
+                clients.cancel_scope.cancel()
+
+    on_loopback(body)
+
+
+def test_a_drain_goes_on_over_an_upgrade(tmp_path: Path) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP echo").start(tasks, 2)
+        site = await Site(tasks, tmp_path).start(hosts)
+        async with site.process() as first:
+            for _ in range(20):
+                tasks.start_soon(site.talk)
+            await anyio.sleep(0.3)
+            async with site.process() as second:
+                # Told of the drain just before it is followed.
+                assert (await call(first.door, "POST /ops/drain/start"))[0] == 200
+            # That one failed and is gone: the first one takes clients again, and drains.
+            async with site.process() as second:
+                first.signal(signal.SIGTERM)
+                assert '"draining":true' in (await call(second.door, READY))[1]
+                host, _, port = site.raw["listen"].rpartition(":")
+                front = Lines(await anyio.connect_tcp(host, int(port)))
+                await front.send(b"PING\r\n")
+                assert await front.line() == b"NO\r\n"
+                assert await first.ended() == 0
+                while site.seen["moved"] < site.seen["UP"]:
+                    await anyio.sleep(0.02)
+                assert site.seen["UP"] == 20 and not site.seen["broken"]
+                assert (await call(second.door, "POST /ops/drain/stop"))[0] == 200
+                await front.send(b"PING\r\n")
+                assert await front.line() == b"PONG\r\n"
+
+    on_loopback(body)
+
+
+async def reached(site: Site) -> Channel:
+    """The Unix socket of the process that serves, as a new one would find it."""
+    os.environ["TMPDIR"] = str(site.path)
+    meeting = Meeting.of(plan_from(site.raw, door_address()))
+    assert meeting is not None
+    while (sock := meeting.connect()) is None:
+        await anyio.sleep(0.01)
+    return Channel(await UNIXSocketStream.from_socket(sock))
+
+
+@pytest.mark.parametrize("how", ["silent end", "nonsense", "other version", "other node", "after it served"])
+def test_a_new_process_that_fails_leaves_the_old_one_serving(
+    how: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv("TMPDIR", "")
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP echo").start(tasks, 2)
+        site = await Site(tasks, tmp_path).start(hosts)
+        async with site.process() as first:
+            for _ in range(5):
+                tasks.start_soon(site.talk)
+            channel = await reached(site)
+            greeting = Hello(*hello(plan_from(site.raw)))
+            if how == "nonsense":
+                await channel.stream.send(b"GET / HTTP/1.1\r\n\r\n")
+                assert await channel.receive() is None
+            elif how == "other version":
+                await channel.stream.send(b"LL\x63" + encoded(greeting, 0)[3:])
+                assert await channel.receive() is None
+            elif how == "other node":
+                await channel.send(Hello("n9", greeting.listen))
+                assert await channel.receive() is None
+            elif how == "after it served":
+                for said, word in ((greeting, Welcome), (Serving(), Ceded)):
+                    await channel.send(said)
+                    came = await channel.receive()
+                    assert came is not None and isinstance(came[0], word)
+                    for sock in came[1]:
+                        sock.close()
+                # Nobody takes clients now: who comes waits in the queue that both would share.
+                tasks.start_soon(site.talk)
+                await anyio.sleep(0.2)
+                assert site.seen["UP"] == 5
+            await channel.close()
+            await site.talk_once()
+            before = site.seen["lines"]
+            await anyio.sleep(0.3)
+            assert site.seen["lines"] > before
+            assert set(site.seen) == {"UP", "lines"}
+            # And a sound one still finds it.
+            async with site.process():
+                first.signal(signal.SIGTERM)
+                assert await first.ended() == 0
+                assert set(site.seen) == {"UP", "lines"}
+
+    on_loopback(body)
+
+
+def test_the_old_process_killed_halfway_leaves_the_new_one_with_what_it_has(tmp_path: Path) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP echo").start(tasks, 2)
+        site = await Site(tasks, tmp_path).start(hosts)
+        async with site.process() as first:
+            for _ in range(30):
+                tasks.start_soon(site.talk)
+            await anyio.sleep(0.5)
+            async with site.process() as second:
+                first.signal(signal.SIGTERM)
+                await anyio.sleep(0.6)  # some of the links have been handed over, some not
+                first.signal(signal.SIGKILL)
+                await second.told("the process before this one has ended")
+                await site.talk_once()
+                await anyio.sleep(0.3)
+                assert 0 < site.seen["broken"] < 30, "those handed over go on, the others ended with it"
+                before = site.seen["lines"]
+                await anyio.sleep(0.3)
+                assert site.seen["lines"] > before
+
+    on_loopback(body)
+
+
+def test_a_stale_or_foreign_file_in_the_folder_costs_nothing(tmp_path: Path) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP echo").start(tasks)
+        site = await Site(tasks, tmp_path).start(hosts)
+        meeting = Meeting(tmp_path, plan_from(site.raw, door_address()))
+        (tmp_path / meeting.name).write_bytes(b"no socket at all")
+        async with site.process() as first:
+            await site.talk_once()
+            first.signal(signal.SIGKILL)
+            await first.ended()
+        async with site.process() as second:  # the socket of the first one is there still
+            await site.talk_once()
+            async with site.process():
+                second.signal(signal.SIGTERM)
+                assert await second.ended() == 0
+        assert site.seen["UP"] == 2
+
+    on_loopback(body)
+
+
+PACKETS: list[Packet] = [
+    Hello("n0", "127.0.0.1:3000"),
+    Welcome(Members(7, True, [Member("s-0", ("127.0.0.1", 3000), "a", 3, line(0).state, 1.0, 9000)])),
+    Serving(),
+    Ceded({"hosts": {}, "asked": [], "noted": 0.0}, ["id1", "idé"], 12, 0.5, 17),
+    Standing(b"OPEN id1 k1 c=once,d=9\r\n", "s-0", 1.5, 0, int(Outcome.CUT), b"half a l\xff", b"one\r\ntwo"),
+]
+
+
+@pytest.mark.parametrize("packet", PACKETS, ids=[type(packet).__name__ for packet in PACKETS])
+def test_a_packet_cut_at_any_byte_is_no_packet_and_leaves_no_descriptor(packet: Packet) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        data = encoded(packet, 1)
+        for cut in range(len(data) + 1):
+            ours, theirs = socket.socketpair()
+            held = len(os.listdir("/proc/self/fd"))
+            socket.send_fds(ours, [data[:cut]], [ours.fileno()] if cut else [])
+            ours.shutdown(socket.SHUT_WR)
+            theirs.setblocking(False)
+            came = await Channel(await UNIXSocketStream.from_socket(theirs)).receive()
+            if cut < len(data):
+                assert came is None
+            else:
+                assert came is not None and came[0] == packet
+                came[1][0].close()
+            assert len(os.listdir("/proc/self/fd")) == held
+            ours.close()
+            theirs.close()
+
+    on_loopback(body)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [b"", b"{", b"[]", b"{}", b'{"kind":"Nothing"}', b'{"kind":"Ceded"}', b'{"kind":"Welcome","members":{}}'],
+)
+def test_a_packet_that_is_nonsense_is_told_as_that(text: bytes) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        ours, theirs = socket.socketpair()
+        ours.send(b"LL\x01\x00" + len(text).to_bytes(4) + text)
+        theirs.setblocking(False)
+        with pytest.raises(BadInput, match="packet"):
+            await Channel(await UNIXSocketStream.from_socket(theirs)).receive()
+        ours.close()
+        theirs.close()
+
+    on_loopback(body)
+
+
+# What Brain hands on.
+
+
+def brain(came_up: int, **terms: Any) -> Brain:
+    made = Brain(
+        replace(TERMS, probes=True, probe_tells_load=True, late_told=False, **terms), random.Random(3)
+    )
+    made.hosts_listed(100 * SECOND, [line(0), line(1), line(2, came_up=came_up)], whole=True, asked=True)
+    return made
+
+
+def filled(made: Brain, now: int, first: int, times: int) -> int:
+    """How many of so many new links go to the cold host."""
+    went = 0
+    for number in range(first, first + times):
+        link = Link(number, 0, number, number, now + 2 * SECOND)
+        for host in made.hosts.values():
+            host.probed_at = now
+            made.report(now, host.number, True, *((0.05, 0.0) if host.came_up else (0.5, 50.0)))
+        answer = made.place(now, link)
+        if answer.host >= 0:
+            went += answer.host == 2
+            made.outcome(now, link, Outcome.STANDS)
+    return went
+
+
+def test_a_cold_hosts_budget_is_spent_once_by_both_processes() -> None:
+    now = 100 * SECOND
+    for seed in range(20):
+        came_up = now - 14 * SECOND - seed * SECOND // 20
+        alone, old, new = (brain(came_up, nodes=1) for _ in range(3))
+        whole = filled(alone, now, 1000 * seed, 400)
+        assert whole > 0
+        idle = brain(came_up, nodes=1)
+        idle.cede(True)
+        assert filled(idle, now, 1000 * seed, 400) == 0, "spent though it is another's"
+        spent = filled(old, now, 1000 * seed, 200)
+        old.cede(True)
+        new.recall(old.learned(), 0)
+        assert filled(old, now, 5000 + 1000 * seed, 50) == 0, "spent after it was ceded"
+        assert spent + filled(new, now, 1000 * seed + 200, 200) <= whole + 1
+        old.cede(False)  # the new one failed: the window is spent all the same
+        assert spent + filled(old, now, 1000 * seed + 200, 200) <= whole + 1
+
+
+def test_what_was_learned_comes_with_the_clocks_difference_and_not_for_a_host_started_anew() -> None:
+    now, shift = 100 * SECOND, 7 * SECOND
+    old, new = brain(0), brain(now - SECOND)
+    for host in (0, 1, 2):
+        old.report(now, host, True, 0.9, 90.0)
+        old.quiet(now, host)
+    plain = orjson.loads(orjson.dumps(old.learned()))
+    new.recall(plain, shift)
+    for number in (0, 1):
+        assert new.hosts[number].x0 == 0.9
+        assert new.hosts[number].slow_until == old.hosts[number].slow_until + shift
+    assert new.hosts[2].x0 == 0.0, "the process that was seen there is gone"
+
+
+@pytest.mark.parametrize(
+    "change", [{"hosts": {"host-0": {"came_up": 0}}}, {"asked": ["x"]}, {"noted": None}, {"hosts": 3}]
+)
+def test_what_can_not_be_read_leaves_no_half_of_it_behind(change: dict[str, Any]) -> None:
+    old, new = brain(0), brain(0)
+    old.report(100 * SECOND, 1, True, 0.9, 90.0)
+    before = new.learned()
+    with pytest.raises((KeyError, TypeError, ValueError, AttributeError)):
+        new.recall({**old.learned(), **change}, 0)
+    assert new.learned() == before
