--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -156,7 +156,13 @@
     async def taken(self, client: Lines, hand: Hand, now: int) -> None:
         """A link from its arrival, then, to its end."""
         self.counters.add("link taken")
-        log.debug("taken", key=hand.opening.key, late_us=now_us() - now, wait_ms=hand.opening.wait_ms)
+        log.debug(
+            "taken",
+            key=hand.opening.key,
+            late_us=now_us() - now,
+            wait_ms=hand.opening.wait_ms,
+            mid=hand.opening.mid_flow,
+        )
         at = hand.opening.standing_at
         if at is None and self.phase.turns_away(anyio.current_time()):
             hand.settle(Shed(BACK_US))
--- a/larchlatch/node/lifecycle/run.py
+++ b/larchlatch/node/lifecycle/run.py
@@ -138,7 +138,13 @@
                 tasks.start_soon(giving.run)
             phase.ready = True
             ready.set()
-            log.info("serving", node=plan.name, listen=listener.address, hosts=len(module.peers))
+            log.info(
+                "serving",
+                node=plan.name,
+                listen=listener.address,
+                hosts=len(module.peers),
+                passes_through=plan.passes_through,
+            )
             task_status.started(listener.address[1])
             async for told in signals:
                 if told == signal.SIGHUP:
