--- a/larchlatch/node/lifecycle/phase.py
+++ b/larchlatch/node/lifecycle/phase.py
@@ -70,7 +70,7 @@
             ends.append(self.stopped_at + self.stop_s)
         if self.hands_over and self.stopped_at is not None:  # a drain goes on over there
             return min([*ends, self.stopped_at + PASS_S])
-        return min(ends) if ends and (not self.passes_through or not self.draining) else None
+        return min(ends) if ends and not self.passes_through else None
 
     def leave(self, now: float, standing: int) -> int:
         """How many of the links that stand are to leave now."""
