Whoever goes on with its first line makes room last, and has 0.3 s more for it

At fault: room.py turned out the oldest connection, half a line or not, and let the silent have sockets // 3 - 48, which is 16 of 192; first_line ended all at 2.5 s. Ruled out: lag (1 to 2 ms).

Each piece of a line makes its client's silence count half; PING starts it anew; the quiet have a third of what there is. Where bytes still come a line may take 2.8 s. Counters tell who made room.

--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -16,7 +16,7 @@
 from larchlatch.node.lifecycle.phase import Phase
 from larchlatch.node.memory.counters import Counters
 from larchlatch.node.memory.hand import Delivered, GivenUp, Hand, Shed
-from larchlatch.node.memory.room import Room
+from larchlatch.node.memory.room import Quiet, Room
 from larchlatch.node.module import Module
 from larchlatch.node.peer import Try
 from larchlatch.node.relay import Ended, Relay, Side
@@ -27,6 +27,8 @@
 from larchlatch.node.words import Arrived, Left, Stood, Tried
 
 FIRST_LINE_S = 2.5  # a client is owed a word 3 s after it has connected, whatever it sends or does not
+SLOW_LINE_S = 2.8  # and one that is still sending its line, so that the word leaves in time in a crowd
+NEXT_BYTES_S = 0.5  # to the next bytes of a line for its client to count as still sending
 PINGED_S = 10.0  # a front that has asked whether this node serves may ask again within this
 MOVE_S = 0.5  # a client that does not read so long is cut off: it can't be told to move
 BACK_US = 200_000  # a client that a drained node sheds comes back through a front that knows by then
@@ -116,21 +118,37 @@
 
     async def first_line(self, client: Lines) -> bytes | Ending | None:
         """The line that says what the client wants; None where it says nothing in time."""
-        self.unheard += 1
-        heard = False
-        try:
-            with anyio.move_on_after(FIRST_LINE_S) as scope, self.room.saying_nothing(scope):
+        began = anyio.current_time()
+        with anyio.CancelScope(deadline=began + FIRST_LINE_S) as scope:
+            quiet = Quiet(scope.cancel, began)
+
+            def begun() -> None:
+                now = anyio.current_time()
+                self.room.heard(quiet, now)
+                # Sound clients may be slow: one whose bytes still come has what is left of the 3 s.
+                more = min(began + SLOW_LINE_S, now + NEXT_BYTES_S)
+                scope.deadline = max(scope.deadline, more)
+
+            self.room.add(quiet, began)
+            self.unheard += 1
+            client.begun = begun
+            pinged = False
+            try:
                 while (line := await client.line()) == say.PING:
-                    if not heard:  # a front: whoever ends need not wait for it
-                        heard = True
+                    if not pinged:  # a front: whoever ends need not wait for it
+                        pinged = True
                         self.unheard -= 1
+                    self.room.heard(quiet, anyio.current_time(), whole=True)
                     await self.ready.wait()
                     await client.send(say.PONG if self.phase.welcome else say.NO)
                     scope.deadline = anyio.current_time() + PINGED_S
                 return line
-            return None
-        finally:
-            self.unheard -= not heard
+            finally:
+                client.begun = None
+                self.unheard -= not pinged
+                if not self.room.remove(quiet):
+                    self.counters.add("made room (half a line)" if quiet.pieces else "made room (silent)")
+        return None
 
     async def refuse(self, client: Lines, why: str) -> None:
         """An error at once, and the end."""
--- a/larchlatch/node/lifecycle/run.py
+++ b/larchlatch/node/lifecycle/run.py
@@ -64,10 +64,10 @@
 
     async def accept(self) -> None:
         while True:
-            if not self.room.take():
+            if not self.room.take(anyio.current_time()):
                 # Out of descriptors: who comes now waits in the backlog, which costs nothing.
                 self.door.counters.add("accepting paused")
-                while not self.room.take():
+                while not self.room.take(anyio.current_time()):
                     await anyio.sleep(PAUSE_S)
             sock = None
             try:
--- a/larchlatch/node/peer.py
+++ b/larchlatch/node/peer.py
@@ -123,7 +123,7 @@
 
     async def tried(self, hand: Hand, until: int) -> Outcome:
         # Without a descriptor nothing has left this node: the module may try again, whatever the tariff.
-        if not self.room.take():
+        if not self.room.take(anyio.current_time()):
             return Outcome.UNSENT
         host: Lines | None = None
         kept = False
--- a/larchlatch/node/wire/stream.py
+++ b/larchlatch/node/wire/stream.py
@@ -6,6 +6,7 @@
 import os
 import socket
 import struct
+from collections.abc import Callable
 from contextlib import suppress
 from enum import Enum
 from typing import Any
@@ -51,6 +52,7 @@
             stream.extra(SocketAttribute.raw_socket).setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         self.tail = b""  # what has come of a line that is still open
         self.ready: list[bytes] = []  # whole lines that came with one asked for
+        self.begun: Callable[[], None] | None = None  # told when bytes have come that make no line yet
         self.closed = False
         self.spoken_to = False  # something has been sent
 
@@ -73,6 +75,8 @@
                 return Ending.TOO_LONG
             if lines:
                 return [line + b"\n" for line in lines]
+            if self.begun is not None:
+                self.begun()
 
     def feed(self, early: bytes) -> None:
         """What another process of this node has read of this connection and not passed on."""
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,156 @@
+"""Who makes room when descriptors run short: the rule without I/O, and a crowd beside sound slow clients."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import TaskGroup
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from larchlatch.node import client as node_client
+from larchlatch.node.memory.room import FEWEST_QUIET, RESERVE, SPARED, Quiet, Room
+from larchlatch.node.wire.stream import Ending, Lines
+from tests.ground import IDENTS, Discovery, Hosts, configuration, dial, on_loopback
+from tests.test_node import NEWS, serving
+
+STEPS = st.tuples(
+    st.sampled_from(["connect", "part", "ping", "line", "leave", "socket", "end"]),
+    st.integers(0, 30),
+    st.floats(0.0, 1.0),
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.lists(STEPS, max_size=80), st.integers(1, 200))
+def test_whatever_comes_no_more_is_held_than_there_is_and_the_quiet_give_way(
+    steps: list[tuple[str, int, float]], sockets: int
+) -> None:
+    room, now = Room(sockets), 50.0
+    there: list[Quiet] = []  # connected, in their order
+    out: list[Quiet] = []
+    held = 0
+
+    def gone(quiet: Quiet) -> None:
+        nonlocal held
+        there.remove(quiet)
+        out.append(quiet)
+        held -= 1
+        room.give()
+
+    def connected(now: float) -> Quiet:
+        quiet = Quiet(lambda: gone(quiet), now)
+        return quiet
+
+    for step, which, passed in steps:
+        now += passed
+        quiet = there[which % len(there)] if there else None
+        if step in ("connect", "socket"):
+            before, had_room = list(there), room.free > 0
+            if room.take(now):
+                held += 1
+                if step == "connect":
+                    there.append(connected(now))
+                    room.add(there[-1], now)
+            else:
+                assert not before and not had_room, "refused though one without a link could make room"
+            for one in [one for one in before if one not in there]:
+                # Whoever goes on with a line is spared while another has said nothing for twice as long.
+                for other in there:
+                    longest = (now - one.heard_at) / 2 ** min(SPARED, one.pieces)
+                    assert longest >= (now - other.heard_at) / 2 ** min(SPARED, other.pieces) - 1e-9
+        elif quiet is None:
+            continue
+        elif step in ("part", "ping"):
+            room.heard(quiet, now, whole=step == "ping")
+        elif step == "line":  # it is a link now, and makes way for nobody
+            assert room.remove(quiet)
+            there.remove(quiet)
+        else:
+            assert room.remove(quiet)
+            there.remove(quiet)
+            held -= 1
+            room.give()
+        assert held == room.held <= max(2, sockets - RESERVE)
+        assert len(there) <= max(FEWEST_QUIET, room.most_quiet)
+    assert not set(out) & set(there)
+
+
+def test_a_thousand_idle_and_half_written_beside_sound_slow_clients(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Few descriptors, and a crowd that would fill them twenty times over."""
+    monkeypatch.setattr(node_client, "FIRST_LINE_S", 2.0)
+    monkeypatch.setattr(node_client, "PINGED_S", 2.0)
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP r1").start(tasks, 2)
+        discovery = await Discovery([NEWS]).start(tasks)
+        raw: dict[str, Any] = configuration(hosts.addresses, discovery.port)
+        raw["limits"]["sockets"] = 192
+        port = await serving(tasks, raw)
+        told = []
+
+        async def idle(says: bytes) -> None:
+            client = await dial(port)
+            if says:
+                await client.send(says)
+            said = await client.line()
+            if says == b"PING\r\n":
+                assert said == b"PONG\r\n"
+                said = await client.line()
+            told.append(said)
+            await client.close()
+
+        async def slow() -> None:
+            client = await dial(port)
+            text = f"OPEN id{next(IDENTS)} k1 c=rerun,t=acme,d=2000,g=k1\r\n".encode()
+            for place in range(0, len(text), 9):
+                await client.send(text[place : place + 9])
+                await anyio.sleep(0.3 if place else 0.03)
+            got.append(await client.line())
+
+        got: list[bytes | Ending] = []
+        async with anyio.create_task_group() as crowd:
+            for number in range(1000):
+                crowd.start_soon(idle, (b"", b"OPEN i", b"PING\r\n", b"", b"PING\r\n")[number % 5])
+                if number % 100 == 50:
+                    tasks.start_soon(slow)
+                if number % 10 == 0:
+                    await anyio.sleep(0.04)
+            with anyio.fail_after(6):
+                while len(got) < 10:
+                    await anyio.sleep(0.02)
+        assert got == [b"UP r1\r\n"] * 10
+        assert len(told) == 1000 and set(told) <= {b"ERR\r\n", Ending.END, Ending.RESET}
+
+    on_loopback(body)
+
+
+def test_a_line_that_goes_on_has_a_little_longer_but_not_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_client, "FIRST_LINE_S", 0.5)
+    monkeypatch.setattr(node_client, "SLOW_LINE_S", 1.2)
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP r1").start(tasks)
+        discovery = await Discovery([NEWS]).start(tasks)
+        port = await serving(tasks, configuration(hosts.addresses, discovery.port))
+        client = await dial(port)
+        for part in (b"OPEN idx k1 ", b"c=rerun,t=acme,", b"d=2000,g=k1\r\n"):
+            await client.send(part)
+            await anyio.sleep(0.3)
+        assert await client.line() == b"UP r1\r\n"
+        endless = Lines((await dial(port)).stream)
+        ended: list[bytes | Ending] = []
+
+        async def wait() -> None:
+            ended.append(await endless.line())
+
+        tasks.start_soon(wait)
+        with anyio.fail_after(3):
+            while not ended:
+                await endless.send(b"x")
+                await anyio.sleep(0.1)
+        assert ended == [b"ERR\r\n"]
+
+    on_loopback(body)
