--- a/larchlatch/node/lifecycle/stop.py
+++ b/larchlatch/node/lifecycle/stop.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import os
-
 import anyio
 import structlog
 from anyio.abc import TaskGroup
@@ -42,14 +40,6 @@
         log.info("stopping", links=len(self.door.standing))
         self.drain()
         until = anyio.current_time() + self.phase.stop_s + SPARE_S
-        if self.phase.passes_through:
-            await anyio.sleep(1.0)
-            while anyio.current_time() < until and (
-                self.door.unheard or self.door.in_hand > len(self.door.standing)
-            ):
-                await anyio.sleep(STEP_S)
-            log.info("stopped", early=True, **self.counters.told())
-            os._exit(0)
         # Until the time is up new links may come through a front that has not noticed, unless another process
         # takes them; those that have connected here get their answer here.
         while self.door.in_hand > 0 or (
