SIGUSR1 tells host by host what is believed; clients that never read are cut off

Need: on-call staff could not compare belief with sockets; a client that does not read held its link and two descriptors for as long as its host was excused; a vanished client's machine for two hours (the system's keepalive); probe connections, up to 60, took no room.

Brain.beliefs says why a host is left out; each probe connection takes one of the room; stalled clients go after 10 s; keepalive after 60 s.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -31,6 +31,7 @@
     NOT_YET,
     SHED,
     Answer,
+    Belief,
     Due,
     Group,
     Link,
@@ -681,6 +682,31 @@
         if link.host >= 0:
             self.hosts[link.host].remove(link)
 
+    def beliefs(self, now: int) -> list[Belief]:
+        """What this node takes its hosts to be."""
+        mean, rows = self.mean_load(), []
+        for host in self.hosts.values():
+            stand = sum(link.open for link in host.open.values())
+            told = host.x0 if host.x0_at > 0 else None
+            why = self.left_out(now, host, mean)
+            rows.append(
+                Belief(host.number, host.state, len(host.open) - stand, stand, told, now - host.x0_at, why)
+            )
+        return rows
+
+    def left_out(self, now: int, host: Host, mean: float) -> str:
+        """Why no new link goes to a host in the first place, by what place and choose ask in their order."""
+        reasons = (
+            (host.state is not State.READY, host.state.value),
+            (self.absent(now, host), "no connection"),
+            (now < host.quiet_until, "quiet"),
+            (now < host.slow_until, "slow"),
+            (now < host.rest_until, "rests"),
+            (self.crowded(now, host, mean), "crowded"),
+            (self.warmth(now, host) < 1.0, "cold"),
+        )
+        return next((why for holds, why in reasons if holds), "")
+
     # What the next process of the same node has to know.
 
     def learned(self) -> dict[str, Any]:
--- a/larchlatch/links.py
+++ b/larchlatch/links.py
@@ -121,6 +121,18 @@
     at: int = 0
 
 
+class Belief(NamedTuple):
+    """What the node takes a host to be, for whoever has to compare it with the sockets."""
+
+    host: int
+    state: State
+    out: int  # setup tries
+    open: int  # links that stand there
+    load: float | None  # over what it can do, as last probed
+    load_age_us: int
+    left_out: str  # why no new link goes there first; empty: it has its share
+
+
 NOT_YET = -1  # ask again at `at`, or sooner if something changes
 SHED = -2  # the final answer: safe to retry; `at` is how long the client had better wait, 0 for no advice
 GIVEN_UP = -3  # the final answer: no promise
--- a/larchlatch/node/lifecycle/run.py
+++ b/larchlatch/node/lifecycle/run.py
@@ -151,6 +151,9 @@
                     plan = reread(plan, path, listing, counters)
                     continue
                 log.info("counters", **counters.told(), lag_ms=lag.told_ms())
+                if told == signal.SIGUSR1:
+                    for row in module.told():
+                        log.info("host", **row)
                 if told != signal.SIGUSR1 and phase.stopped_at is None:
                     phase.stop(anyio.current_time())
                     tasks.start_soon(leaving.stop)
--- a/larchlatch/node/memory/hand.py
+++ b/larchlatch/node/memory/hand.py
@@ -42,7 +42,7 @@
         self.move = anyio.Event()
         self.pass_on: Callable[[], None] | None = None  # stops a standing link for another process
         self.silent = False  # moved because its host said nothing any more
-        self.stalled = False  # the client does not read what is sent to it
+        self.stalled_at = 0  # since when the client has not read what is sent to it; 0: it reads
         self.asked_at = 0  # when the client sent the first line that has no answer yet; 0: none waits
 
     def settle(self, verdict: Verdict) -> bool:
--- a/larchlatch/node/module.py
+++ b/larchlatch/node/module.py
@@ -178,6 +178,26 @@
             self.counters.add("learned not understood")
             log.warning("what the process before this one learned is not understood", why=repr(error))
 
+    def told(self) -> list[dict[str, Any]]:
+        """Host by host what the decisions believe, beside the sockets that are open."""
+        rows = []
+        for belief in self.brain.beliefs(now_us()):
+            peer = self.peers.get(belief.host)
+            rows.append(
+                {
+                    "host": peer.name if peer else belief.host,
+                    "state": belief.state.value,
+                    "left_out": belief.left_out,
+                    "tries": belief.out,
+                    "tries_open": peer.trying if peer else 0,
+                    "links": belief.open,
+                    "links_open": len(peer.standing) if peer else 0,
+                    "load": None if belief.load is None else round(belief.load, 3),
+                    "load_age_ms": None if belief.load is None else belief.load_age_us // 1000,
+                }
+            )
+        return rows
+
     def members(self) -> Members:
         """The list as it is known here, hosts that are gone included: links may stand there still."""
         revision = self.listing.revision if self.listing is not None else 0
--- a/larchlatch/node/peer.py
+++ b/larchlatch/node/peer.py
@@ -23,6 +23,7 @@
 BEAT_S = 0.25  # between two looks at what waits for an answer: short against the silence that counts
 NOTE_US = 1_000_000  # delay notes come once a second
 SILENT_US = 1_500_000  # a link without an answer for so long is given up: sound ones are answered at once
+STALLED_US = 10_000_000  # a client that reads nothing for so long is cut off: sound ones read at once
 QUIET_US = 500_000  # no answer to any link for so long is told at once: many round trips between zones
 PROBE_S = 0.4  # a probe's answer takes a round trip; by then the next one is nearly due
 NOTED_SHARE = 3  # messages that take over a third of the strictest wanted time are told of
@@ -69,6 +70,7 @@
         self.counters = counters
         self.post = post
         self.standing: dict[int, Hand] = {}
+        self.trying = 0  # setup tries under way
         self.delays: deque[tuple[int, int]] = deque(maxlen=256)  # when an answer came, what it took
         self.noted_at = 0
         self.told_slow = False
@@ -103,6 +105,7 @@
         outcome = Outcome.UNSENT
         began = now_us()
         if not hand.gone:
+            self.trying += 1
             with anyio.CancelScope() as scope:
                 outcome = Outcome.CANCELLED
                 hand.attempt = scope
@@ -112,6 +115,7 @@
                     outcome = Outcome.FAULT  # how far it had come is not known: it may have run
                     log.exception("a setup try failed")
             hand.attempt = None
+            self.trying -= 1
         self.counters.add(f"try {outcome.name.lower()}")
         log.debug("tried", host=self.name, key=hand.opening.key, outcome=outcome.name, us=now_us() - began)
         if hand.opening.standing_at is None:
@@ -185,8 +189,13 @@
             await anyio.sleep(BEAT_S)
             now = now_us()
             waiting = {
-                n: h for n, h in self.standing.items() if h.asked_at and not h.stalled and not h.silent
+                n: h for n, h in self.standing.items() if h.asked_at and not h.stalled_at and not h.silent
             }
+            # It reads nothing, and holds two descriptors and what waits for it.
+            for hand in self.standing.values():
+                if hand.stalled_at and now >= hand.stalled_at + STALLED_US and not hand.move.is_set():
+                    self.counters.add("client does not read")
+                    hand.move.set()
             silent = {n for n, hand in waiting.items() if now >= hand.asked_at + SILENT_US}
             # A host that has vanished resets nothing: its links would stay open and silent for good. Each is
             # looked at twice: after a lag of this node's own, answers lie here that have not been read yet.
@@ -212,7 +221,7 @@
             return
         took = [delay for at, delay in self.delays if at > now - NOTE_US]
         edge = self.reach.strictest_us // NOTED_SHARE
-        waits = [now - h.asked_at for h in self.standing.values() if h.asked_at and not h.stalled]
+        waits = [now - h.asked_at for h in self.standing.values() if h.asked_at and not h.stalled_at]
         took += [wait for wait in waits if wait > edge]
         if not took:
             return
@@ -244,11 +253,13 @@
                 if isinstance(made, Unconnected):
                     return None
                 self.look = made
+                self.room.lend(1)  # beside links and clients: many hosts would use up what is kept back
             look = self.look
             said = await self.looked(look)
             if isinstance(said, say.Pong):
                 return said
             self.look = None
+            self.room.lend(-1)
             await look.close()
             if fresh or not isinstance(said, Ending):
                 break
--- a/larchlatch/node/relay.py
+++ b/larchlatch/node/relay.py
@@ -114,9 +114,9 @@
                     case _:
                         self.peer.answered(self.hand)
             # While a client does not read, its host is not heard: that must not be taken for silence.
-            self.hand.stalled = True
+            self.hand.stalled_at = now_us()
             sent = await self.client.send(b"".join(some))
-            self.hand.stalled = False
+            self.hand.stalled_at = 0
             if not sent:
                 return Ended(Side.CLIENT, Ending.RESET, Outcome.CANCELLED)
         return None
--- a/larchlatch/node/wire/stream.py
+++ b/larchlatch/node/wire/stream.py
@@ -19,6 +19,9 @@
 
 CHUNK = 16384  # bytes read at a time: many lines, and little memory for each of hundreds of links
 LAST_RECEIVED = 52  # bytes into Linux's tcp_info: milliseconds since the last data came
+# Seconds: the system's own two hours would keep two descriptors for each client that has walked away with its
+# machine. Sound ones answer within a round trip.
+KEEPALIVE = {socket.TCP_KEEPIDLE: 30, socket.TCP_KEEPINTVL: 10, socket.TCP_KEEPCNT: 3}
 LINGER_S = 0.5  # how long the other side may take to end its half after this side has ended
 
 
@@ -49,7 +52,10 @@
         # A client whose machine has vanished says nothing more: without this its link would hold two
         # descriptors for good.
         with suppress(*GONE):
-            stream.extra(SocketAttribute.raw_socket).setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            raw = stream.extra(SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            for option, value in KEEPALIVE.items():
+                raw.setsockopt(socket.IPPROTO_TCP, option, value)
         self.tail = b""  # what has come of a line that is still open
         self.ready: list[bytes] = []  # whole lines that came with one asked for
         self.begun: Callable[[], None] | None = None  # told when bytes have come that make no line yet
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -37,6 +37,7 @@
     configuration,
     door_address,
     line,
+    member,
     on_loopback,
     process,
 )
@@ -331,6 +332,28 @@
     on_loopback(body)
 
 
+def test_an_upgrade_while_the_list_is_out_of_reach_goes_by_what_the_old_one_heard(tmp_path: Path) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP echo").start(tasks, 2)
+        told = [member(n, at) for n, at in enumerate(hosts.addresses)]
+        site = await Site(tasks, tmp_path).start(hosts)
+        discovery = await Discovery([{"revision": 9, "complete": True, "members": told}], []).start(tasks)
+        # The file has never heard of these hosts, and from now on nobody tells of them.
+        site.raw["known"] = {"revision": 1, "complete": True, "members": []}
+        site.raw["discovery"] = f"127.0.0.1:{discovery.port}"
+        site.write()
+        async with site.process() as first:
+            await site.talk_once()
+            async with site.process() as second:
+                first.signal(signal.SIGTERM)
+                await site.talk_once()
+                assert await first.ended() == 0
+                assert site.seen["UP"] == 2 and set(site.seen) <= {"UP", "lines"}
+                assert (await call(second.door, READY))[0] == 200
+
+    on_loopback(body)
+
+
 PACKETS: list[Packet] = [
     Hello("n0", "127.0.0.1:3000"),
     Welcome(Members(7, True, [Member("s-0", ("127.0.0.1", 3000), "a", 3, line(0).state, 1.0, 9000)])),
