--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -27,8 +27,6 @@
 from larchlatch.node.words import Arrived, Left, Stood, Tried
 
 FIRST_LINE_S = 2.5  # a client is owed a word 3 s after it has connected, whatever it sends or does not
-SLOW_LINE_S = 2.8  # and one that is still sending its line, so that the word leaves in time in a crowd
-NEXT_BYTES_S = 0.5  # to the next bytes of a line for its client to count as still sending
 PINGED_S = 10.0  # a front that has asked whether this node serves may ask again within this
 MOVE_S = 0.5  # a client that does not read so long is cut off: it can't be told to move
 BACK_US = 200_000  # a client that a drained node sheds comes back through a front that knows by then
@@ -123,11 +121,7 @@
             quiet = Quiet(scope.cancel, began)
 
             def begun() -> None:
-                now = anyio.current_time()
-                self.room.heard(quiet, now)
-                # Sound clients may be slow: one whose bytes still come has what is left of the 3 s.
-                more = min(began + SLOW_LINE_S, now + NEXT_BYTES_S)
-                scope.deadline = max(scope.deadline, more)
+                self.room.heard(quiet, anyio.current_time())
 
             self.room.add(quiet, began)
             self.unheard += 1
