--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -225,12 +225,13 @@
                 return
             hand = self.hand(now_us(), opening)
             hand.link.load, hand.asked_at = told.load, told.asked_at
-            hand.settle(Delivered(host, b"", number))
+            verdict = Delivered(host, b"", number)
+            hand.settle(verdict)
             async with self.held(hand):
                 self.elsewhere.discard(opening.ident)
                 self.counters.add("link taken over")
                 await self.module.post(Stood(hand, number))
-                await self.stands(client, hand, Delivered(host, b"", number), Outcome(told.last))
+                await self.stands(client, hand, verdict, Outcome(told.last))
         except Exception:
             self.counters.add("connection failed")
             log.exception("a link could not be taken over")
--- a/larchlatch/node/wire/listen.py
+++ b/larchlatch/node/wire/listen.py
@@ -58,9 +58,6 @@
                 made.setblocking(False)
                 return made
 
-    def close(self) -> None:
-        self.sock.close()
-
 
 async def stream_of(sock: socket.socket) -> SocketStream:
     """A connected socket as a stream."""
