--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -57,8 +57,8 @@
 
     async def start(self, hosts: Hosts, **changes: Any) -> Site:
         discovery = await Discovery([NEWS]).start(self.tasks)
-        # The stand-ins share this machine with the tests: late by its load, hosts would count as slow, and links
-        # be shed as they should. Nothing here is about slow hosts.
+        # The stand-ins share this machine with the tests: late by its load, hosts would count as slow, and
+        # links be shed as they should. Nothing here is about slow hosts.
         changes["domain"] = {"tells_delay": False, **changes.get("domain", {})}
         self.raw = configuration(hosts.addresses, discovery.port, **changes)
         self.raw["listen"] = door_address()
