Links that lay unread too long to be set up in time are turned away at once

Cause: a node takes clients in at the speed at which it serves them, 1.9 ms of CPU a link, and a refusal cost 1.35 ms more; of 1,000 links at once on half a core the last were read at 3.7 s and refused up to 4.3 s after they came, 1.3 s past their cut-off. Ruled out: the loop's lag (0.2 s) and waiting for hosts (all UP by 2.9 s). Change: a node that is behind looks at the line before anything is made of the connection, and sheds what has less time left than the module's running mean of a setup; enough_us is Brain's word, the door compares. A refusal takes three calls.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -203,6 +203,7 @@
         self.look_at = 0  # when a host may next have something due
         self.pace = Pace(MANY, NODE_REST_US, LONGEST_NODE_REST_US)
         self.noted = 0.0  # running mean of noted loads
+        self.takes = 0.0  # and of what a setup takes, from its try until it stands
         self.listening = False  # a list subscription stands
         self.asking = False  # a list request is out
         self.ask_at = 0
@@ -516,6 +517,7 @@
         self.tries.pop(link.number, None)
         if what is Outcome.STANDS:
             self.overtaken_by = max(self.overtaken_by, link.sent_at)
+            self.takes += (now - link.sent_at - self.takes) * (NOTED if self.takes else 1.0)
             link.open, link.out, link.stood_at = True, False, now
             host.unreached = False
             self.settling.append(link)
@@ -757,7 +759,7 @@
                 self.ask_at = now
             elif not self.asking:
                 wait = min(wait, self.ask_at - now)
-        return Due(wait, probes, ask, moves, withdrawn)
+        return Due(wait, probes, ask, moves, withdrawn, int(self.takes))
 
     def overtaken(self, now: int) -> list[int]:
         """Links that had better be tried elsewhere: tries sent an expected time after theirs have stood."""
--- a/larchlatch/links.py
+++ b/larchlatch/links.py
@@ -147,3 +147,4 @@
     ask_list: bool
     moves: list[int]
     withdrawn: list[int]  # links whose tries are given up now; the outcome is told as of any other
+    enough_us: int  # a link that lay unread for longer than this, and has less left, is shed at once
--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from itertools import count
+from typing import NamedTuple
 
 import anyio
 import structlog
@@ -23,7 +24,7 @@
 from larchlatch.node.wire import lines as say
 from larchlatch.node.wire import passing
 from larchlatch.node.wire.listen import stream_of
-from larchlatch.node.wire.stream import Ending, Lines
+from larchlatch.node.wire.stream import Ending, Lines, answer_at_once, overheard, waited_us
 from larchlatch.node.words import Arrived, Left, Stood, Tried
 
 FIRST_LINE_S = 2.5  # a client is owed a word 3 s after it has connected, whatever it sends or does not
@@ -40,6 +41,14 @@
 log = structlog.get_logger()
 
 
+class Heard(NamedTuple):
+    """What a client had said before anything was made of its connection."""
+
+    data: bytes
+    opening: say.Opening | say.BadLine | None  # where that is one whole line
+    came_us: int
+
+
 class Door:
     """What all clients' connections share."""
 
@@ -70,12 +79,36 @@
         self.successor: Successor | None = None  # another process of this node, which goes on with links
         self.elsewhere: set[str] = set()  # ids of links that the process before this one has in hand
 
-    async def serve(self, sock: socket.socket) -> None:
+    def heard(self, sock: socket.socket) -> Heard | None:
+        """What a connection just accepted has said, where this node is behind; None where it is not."""
+        enough, waited = self.module.enough_us, waited_us(sock)
+        # All that is done for a link costs time that the others lack who have waited as long.
+        if not 0 < enough < waited:
+            return None
+        data = overheard(sock)
+        whole = data.endswith(b"\n") and data.count(b"\n") == 1 and data != say.PING
+        return Heard(data, say.opening_of(data) if whole else None, now_us() - waited)
+
+    def turned_away(self, sock: socket.socket, heard: Heard) -> bool:
+        """Whether a link has too little time left to be set up; it has had its final answer then."""
+        opening = heard.opening
+        if not isinstance(opening, say.Opening) or opening.goes_on:
+            return False
+        # No host has heard of it: a retry is harmless, whatever its tariff.
+        if self.unfit(opening) is not None or self.cut_off(opening, heard.came_us) > now_us() + (
+            self.module.enough_us
+        ):
+            return False
+        self.counters.add("link shed unread")
+        answer_at_once(sock, say.shed_line(BACK_US))
+        return True
+
+    async def serve(self, sock: socket.socket, heard: Heard | None = None) -> None:
         """One connection, from its first line to its end; nothing that goes wrong leaves here."""
         client: Lines | None = None
         try:
             client = Lines(await stream_of(sock))
-            await self.served(client)
+            await self.served(client, heard)
         except Exception:
             self.counters.add("connection failed")
             log.exception("a client's connection failed")
@@ -89,7 +122,12 @@
                 sock.close()
             self.room.give()
 
-    async def served(self, client: Lines) -> None:
+    async def served(self, client: Lines, heard: Heard | None) -> None:
+        if heard is not None and heard.opening is not None:
+            await self.opened(client, heard.opening, heard.came_us)
+            return
+        if heard is not None:
+            client.feed(heard.data)
         line = await self.first_line(client)
         # In a crowd a line may lie unread for a tenth of a second, and the client's time runs from when it
         # came: counted from the reading, the answer would find that the client has given up.
@@ -99,20 +137,29 @@
         elif line is Ending.TOO_LONG:
             await self.refuse(client, "line too long")
         elif not isinstance(line, Ending):
-            opening = say.opening_of(line)
-            if isinstance(opening, say.BadLine):
-                await self.refuse(client, opening.why)
-            elif opening.tariff not in self.tariffs:
-                await self.refuse(client, "unknown tariff")
-            elif opening.tenant is not None and self.tenants and opening.tenant not in self.tenants:
-                await self.refuse(client, "unknown tenant")
-            elif opening.ident in self.idents or opening.ident in self.elsewhere:
-                # Hosts turn a doubled id away with an error: passed on, it would count as the host's failure.
-                await self.refuse(client, "id of an open link")
-            elif client.ready and not opening.goes_on:
-                await self.refuse(client, "more than one line")
-            else:
-                await self.taken(client, self.hand(now, opening), now)
+            await self.opened(client, say.opening_of(line), now)
+
+    async def opened(self, client: Lines, opening: say.Opening | say.BadLine, now: int) -> None:
+        """A client's first line has been read."""
+        if isinstance(opening, say.BadLine):
+            await self.refuse(client, opening.why)
+        elif (why := self.unfit(opening)) is not None:
+            await self.refuse(client, why)
+        elif client.ready and not opening.goes_on:
+            await self.refuse(client, "more than one line")
+        else:
+            await self.taken(client, self.hand(now, opening), now)
+
+    def unfit(self, opening: say.Opening) -> str | None:
+        """Why a link can't be served."""
+        if opening.tariff not in self.tariffs:
+            return "unknown tariff"
+        if opening.tenant is not None and self.tenants and opening.tenant not in self.tenants:
+            return "unknown tenant"
+        # Hosts turn a doubled id away with an error: passed on, it would count as the host's failure.
+        if opening.ident in self.idents or opening.ident in self.elsewhere:
+            return "id of an open link"
+        return None
 
     async def first_line(self, client: Lines) -> bytes | Ending | None:
         """The line that says what the client wants; None where it says nothing in time."""
@@ -152,14 +199,18 @@
         await client.send(say.FAILED)
         await client.close()
 
-    def hand(self, now: int, opening: say.Opening) -> Hand:
+    def cut_off(self, opening: say.Opening, now: int) -> int:
+        """When a link that came at this time is to have its answer."""
         wait_us = min(opening.wait_ms * 1000, self.longest_wait_us)
+        return now + wait_us - min(LAG_US, wait_us // LAG_SHARE)
+
+    def hand(self, now: int, opening: say.Opening) -> Hand:
         link = Link(
             number=next(self.numbers),
             tariff=self.tariffs[opening.tariff],
             key=xxh3_64_intdigest(opening.key.encode()),
             group=xxh3_64_intdigest(opening.group.encode()) if opening.group else None,
-            cut_off=now + wait_us - min(LAG_US, wait_us // LAG_SHARE),
+            cut_off=self.cut_off(opening, now),
             mid_flow=opening.mid_flow,
             load=opening.load,
         )
--- a/larchlatch/node/lifecycle/run.py
+++ b/larchlatch/node/lifecycle/run.py
@@ -80,7 +80,11 @@
             if sock is None:
                 await anyio.sleep(PAUSE_S)
                 continue
-            self.tasks.start_soon(self.door.serve, sock)
+            heard = self.door.heard(sock)
+            if heard is not None and self.door.turned_away(sock, heard):
+                self.room.give()
+            else:
+                self.tasks.start_soon(self.door.serve, sock, heard)
             await anyio.lowlevel.checkpoint()  # a crowd that waits must not keep those from work who are in
 
 
--- a/larchlatch/node/module.py
+++ b/larchlatch/node/module.py
@@ -43,6 +43,7 @@
         self.known: dict[str, Member] = {}  # what the list last said of each host
         self.hands: dict[int, Hand] = {}  # links in hand by number
         self.held: list[tuple[int, int]] = []  # when to ask again, link
+        self.enough_us = 0  # the decisions' own word on links that lay unread, for the door
         self.listing: Listing | None = None
         self.peer_tasks: TaskGroup | None = None
         self.sender, self.words = anyio.create_memory_object_stream[words.Word](MAILBOX)
@@ -148,6 +149,7 @@
     def due(self, now: int) -> int:
         """Ask once how long to wait, and carry out what comes with the answer."""
         due = self.brain.wait(now)
+        self.enough_us = due.enough_us
         for host in due.probes:
             if not self.peers[host].order(Probe()):
                 self.brain.report(now, host, False, None)
--- a/larchlatch/node/wire/stream.py
+++ b/larchlatch/node/wire/stream.py
@@ -120,16 +120,10 @@
 
     def waited_us(self) -> int:
         """How long ago the last bytes came to this machine: they may have waited long to be read."""
-        if not hasattr(socket, "TCP_INFO"):
-            return 0
         try:
-            raw = self.stream.extra(SocketAttribute.raw_socket)
-            info = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED + 4)
+            return waited_us(self.stream.extra(SocketAttribute.raw_socket))
         except GONE:
             return 0
-        if len(info) < LAST_RECEIVED + 4:
-            return 0
-        return int(struct.unpack_from("=I", info, LAST_RECEIVED)[0]) * 1000
 
     async def send(self, data: bytes) -> bool:
         """Whether all of it was written."""
@@ -164,6 +158,34 @@
             await self.stream.aclose()
 
 
+def waited_us(sock: socket.socket) -> int:
+    """How long ago the last bytes came to this machine on a connection."""
+    if not hasattr(socket, "TCP_INFO"):
+        return 0
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED + 4)
+    except OSError:
+        return 0
+    if len(info) < LAST_RECEIVED + 4:
+        return 0
+    return int(struct.unpack_from("=I", info, LAST_RECEIVED)[0]) * 1000
+
+
+def overheard(sock: socket.socket) -> bytes:
+    """What has come on a connection that nobody reads from yet; nothing where that can't be told."""
+    try:
+        return sock.recv(LONGEST)
+    except OSError:
+        return b""
+
+
+def answer_at_once(sock: socket.socket, line: bytes) -> None:
+    """Say a line on a connection that nobody reads from yet, and end it."""
+    with sock, suppress(OSError):
+        sock.send(line)
+        sock.shutdown(socket.SHUT_WR)
+
+
 async def connect(address: tuple[str, int], within_s: float) -> Lines | Unconnected:
     """A connection, or why there is none."""
     try:
