--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -222,6 +222,7 @@
         log.debug(
             "taken",
             key=hand.opening.key,
+            group=hand.opening.group,
             late_us=now_us() - now,
             wait_ms=hand.opening.wait_ms,
             mid=hand.opening.mid_flow,
