Links in mid-flow are looked for at warm hosts first

Two hosts had come up 8 to 12 s before and own arcs of the ring now, but hold none of the links placed before. Ruled out: draining holders (4 of 82), the list (fresh by then). At fault: place() walked the present ring. Change: for the first look of a link in mid-flow, warm hosts come before cold ones on the walk, in the ring's order.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -230,7 +230,10 @@
         if now >= link.asked_at + self.terms.tip_after_us:
             link.asked_at = now
             self.asked.append(now)
-        walk = (host for host in self.walk(link) if self.may_repeat(now, link, host))
+        order: Iterable[Host] = self.walk(link)
+        if link.mid_flow and not link.tries:  # it was placed when the ring had no host that is cold still
+            order = sorted(order, key=lambda host: self.warmth(now, host) < 1.0)
+        walk = (host for host in order if self.may_repeat(now, link, host))
         pair, others = self.pair(now, link, walk)
         if not pair and link.ran_at >= 0:
             return self.final(now, link)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import random
+from dataclasses import replace
 from itertools import pairwise
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from larchlatch.brain import LOOK_US
+from larchlatch.brain import LOOK_US, Brain
 from larchlatch.links import DONE, SHED, Link, Outcome, State
-from tests.ground import SECOND, Ground, line
+from tests.ground import SECOND, TERMS, Ground, line
 
 FAILURES = [Outcome.REFUSED, Outcome.UNREACHED, Outcome.FAULT, Outcome.SILENT, Outcome.CUT]
 STEP = st.one_of(
@@ -593,3 +595,27 @@
         for number, load in ((2, large), (1, 1.0), (0, 1.15)):
             ground.brain.report(ground.now, number, True, load)
         assert bool(ground.brain.wait(ground.now).moves) is relieved
+
+
+def guess(brain: Brain, now: int, number: int, key: int) -> int:
+    """Where a link in mid-flow is taken."""
+    return brain.place(now, Link(number, 0, key, key, now + 2 * SECOND, mid_flow=True)).host
+
+
+def test_a_link_in_mid_flow_is_not_looked_for_at_a_host_that_came_after_it() -> None:
+    now = 100 * SECOND
+    for fresh_up, holds in ((now - 4 * SECOND, True), (now - 30 * SECOND, False)):
+        before, after = (Brain(TERMS, random.Random(seed)) for seed in (1, 2))
+        old = [line(number) for number in range(4)]
+        before.hosts_listed(now, old, whole=True, asked=True)
+        after.hosts_listed(now, [*old, line(4, came_up=fresh_up)], whole=True, asked=True)
+        pairs = [(guess(before, now, key, key), guess(after, now, key, key)) for key in range(1, 200)]
+        assert all(was == now_at for was, now_at in pairs) == holds
+
+
+def test_a_link_in_mid_flow_finds_a_cold_host_where_all_are_cold_and_none_that_drains() -> None:
+    now = 100 * SECOND
+    brain = Brain(replace(TERMS, nodes=1, me=0), random.Random(1))
+    cold = [line(number, came_up=now - SECOND) for number in range(3)]
+    brain.hosts_listed(now, [*cold, line(3, State.DRAINING)], whole=True, asked=True)
+    assert {guess(brain, now, key, key) for key in range(1, 4)} <= {0, 1, 2}
