Links in mid-flow keep to warm hosts only where these are half of all

Need: where most hosts are new, as in the middle of a release, the few warm ones would get the links that the new ones hold.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -232,7 +232,9 @@
             self.asked.append(now)
         order: Iterable[Host] = self.walk(link)
         if link.mid_flow and not link.tries:  # it was placed when the ring had no host that is cold still
-            order = sorted(order, key=lambda host: self.warmth(now, host) < 1.0)
+            hosts = list(order)
+            warm = [host for host in hosts if self.warmth(now, host) >= 1.0]
+            order = warm if 2 * len(warm) >= len(hosts) else hosts  # or a few would get all the others' links
         walk = (host for host in order if self.may_repeat(now, link, host))
         pair, others = self.pair(now, link, walk)
         if not pair and link.ran_at >= 0:
@@ -694,9 +696,8 @@
             stand = sum(link.open for link in host.open.values())
             told = host.x0 if host.x0_at > 0 else None
             why = self.left_out(now, host, mean)
-            rows.append(
-                Belief(host.number, host.state, len(host.open) - stand, stand, told, now - host.x0_at, why)
-            )
+            out = len(host.open) - stand
+            rows.append(Belief(host.number, host.state, out, stand, told, now - host.x0_at, why))
         return rows
 
     def left_out(self, now: int, host: Host, mean: float) -> str:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -613,6 +613,15 @@
         assert all(was == now_at for was, now_at in pairs) == holds
 
 
+def test_links_in_mid_flow_are_not_all_looked_for_at_the_few_hosts_that_are_warm() -> None:
+    now = 100 * SECOND
+    brain = Brain(replace(TERMS, nodes=1, tip_multiple=100.0), random.Random(1))
+    cold = [line(number, came_up=now - 4 * SECOND) for number in range(1, 6)]
+    brain.hosts_listed(now, [line(0), *cold], whole=True, asked=True)
+    places = [guess(brain, now, key, key) for key in range(1, 60)]
+    assert places.count(0) < len(places) / 2
+
+
 def test_a_link_in_mid_flow_finds_a_cold_host_where_all_are_cold_and_none_that_drains() -> None:
     now = 100 * SECOND
     brain = Brain(replace(TERMS, nodes=1, me=0), random.Random(1))
