Links are handed to the next process one at a time: together both keep within the descriptors

Each link has four in the old process while it is sent, its own and their copies, and a round sends several at once. Ruled out: the room lent (208 of 256 in all) and what each process holds besides.

--- a/larchlatch/node/lifecycle/handover.py
+++ b/larchlatch/node/lifecycle/handover.py
@@ -118,6 +118,7 @@
         self.listener = listener
         self.counters = counters
         self.channel: Channel | None = None
+        self.turn = anyio.Lock()  # for each link that is handed over
         self.gate: Callable[[bool], None] = lambda wide: None  # opened and closed for new clients
 
     async def run(self) -> None:
@@ -184,6 +185,11 @@
 
     async def pass_on(self, hand: Hand, client: Lines, host: Lines, last: Outcome) -> bool:
         """Hand a standing link over with both of its connections."""
+        # One at a time: each has four descriptors here until it is gone, with both processes at their limit.
+        async with self.turn:
+            return await self.handed_over(hand, client, host, last)
+
+    async def handed_over(self, hand: Hand, client: Lines, host: Lines, last: Outcome) -> bool:
         fds: list[tuple[Lines, int, bytes]] = []
         try:
             for lines in (client, host):
