--- /dev/null
+++ b/larchlatch/emulator/day.py
@@ -0,0 +1,279 @@
+"""A day: nodes, hosts, clients, the list, and what goes wrong when. Read and checked here, and nowhere else."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+from larchlatch.links import Group, Repeat, Tariff, Terms
+from larchlatch.terms import BadInput
+
+SECOND = 1_000_000  # microseconds
+
+Count = Annotated[int, Meta(ge=1, le=100_000)]
+Few = Annotated[int, Meta(ge=0, le=100_000)]
+Positive = Annotated[float, Meta(gt=0, le=1e9)]
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+
+
+class Strict(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """A key that nobody reads is a slip of the hand."""
+
+
+class Nodes(Strict):
+    count: Count = 2
+    back_s: Amount = 2.0  # a killed node is back after this, with the list it had
+    noticed_s: Amount = 1.0  # until the front no longer sends clients to a node that has died
+
+
+class Hosts(Strict):
+    """So many hosts alike; they are spread over the zones."""
+
+    count: Count = 4
+    size: Positive = 1.0  # cores; a core does a second of work a second
+    late: Few = 0  # of these, so many are not there at first: `join` brings them
+
+
+class Cold(Strict):
+    """How a host that starts warms up, and what pushes it over."""
+
+    least: Share = 0.2  # the share of its work that it can do at first
+    warm_s: Amount = 15.0
+    tip_multiple: Positive = 4.0
+    tip_s: Positive = 1.0
+
+
+class Links(Strict):
+    """Clients come by themselves, whatever became of those before."""
+
+    rate: Positive = 20.0  # a second, all together
+    life_s: Positive = 20.0  # the mean; lives are exponential
+    load_ms: Amount = 5.0  # work a second of a standing link, in ms; exponential
+    setup_ms: Amount = 2.0  # work of a setup; exponential
+    groups: Count = 50
+    skew: Amount = 0.8  # Zipf's exponent of the groups' sizes
+    group_ms: Amount = 0.0  # work a second that a group costs each host that has any of it
+    wait_ms: Positive = 3000.0  # a client waits so long for its answer
+    expected_ms: Positive = 500.0
+    message_ms: Positive = 50.0  # a message is wanted within this
+    beat_s: Positive = 2.0  # a client says something so often
+    effects: Annotated[list[str], Meta(min_length=1)] = field(default_factory=lambda: ["rerunnable"])
+    memory_s: Amount = 5.0  # how long a group of hosts remembers a ticket
+    retries: Few = 4  # after a refusal; a link that broke comes back anew
+    back_ms: Positive = 400.0  # the mean pause before that, where nobody has said better
+
+
+class Network(Strict):
+    near_ms: Amount = 0.3  # one way, within a zone
+    far_ms: Amount = 2.0
+    dial_ms: Positive = 250.0
+    probes: bool = True
+
+
+class Listing(Strict):
+    """How soon a change of the list is heard at a node: drawn between the two."""
+
+    soon_ms: Amount = 50.0
+    late_ms: Amount = 400.0
+
+
+class Fault(Strict, tag_field="kind"):
+    at_s: Amount
+
+
+class Slow(Fault, tag="slow"):
+    """Hosts do their work so many times more slowly."""
+
+    hosts: Count = 1
+    factor: Positive = 4.0
+    for_s: Positive = 10.0
+
+
+class Silent(Fault, tag="silent"):
+    """Hosts vanish without a word; they come back cold, having forgotten all links."""
+
+    hosts: Count = 1
+    for_s: Positive = 10.0
+
+
+class Crash(Fault, tag="crash"):
+    """Hosts' processes die, and come back cold."""
+
+    hosts: Count = 1
+    for_s: Positive = 2.0
+
+
+class Drain(Fault, tag="drain"):
+    """Hosts finish what they have, and are gone after that."""
+
+    hosts: Count = 1
+    for_s: Positive = 10.0
+
+
+class Join(Fault, tag="join"):
+    """Hosts that were not there come up, cold."""
+
+    hosts: Count = 1
+
+
+class Cut(Fault, tag="cut"):
+    """A zone can't be reached from the others, nor they from it."""
+
+    zone: Few = 0
+    for_s: Positive = 8.0
+
+
+class Kill(Fault, tag="kill"):
+    """Nodes die, their links with them or, where packets pass through, in mid-flow to other nodes."""
+
+    nodes: Count = 1
+
+
+class Store(Fault, tag="store"):
+    """What all setups need takes so many times as long."""
+
+    factor: Positive = 10.0
+    for_s: Positive = 10.0
+
+
+class Crowd(Fault, tag="crowd"):
+    """A share of the clients loses its links at once, and comes back."""
+
+    share: Share = 0.5
+
+
+class Deaf(Fault, tag="deaf"):
+    """No node hears of the list."""
+
+    for_s: Positive = 10.0
+
+
+AnyFault = Slow | Silent | Crash | Drain | Join | Cut | Kill | Store | Crowd | Deaf
+
+
+class Day(Strict):
+    name: str = "day"
+    span_s: Annotated[float, Meta(gt=0, le=86_400)] = 30.0
+    seed: int = 1
+    zones: Annotated[int, Meta(ge=1, le=64)] = 2
+    cells: Annotated[int, Meta(ge=1, le=1000)] = 1
+    passes: bool = False  # packets pass through the nodes: a link outlives its node
+    store_ms: Amount = 0.0  # what all setups need takes so long, beside the host's own work
+    nodes: Nodes = Nodes()
+    hosts: Annotated[list[Hosts], Meta(min_length=1)] = field(default_factory=lambda: [Hosts()])
+    cold: Cold = Cold()
+    links: Links = Links()
+    network: Network = Network()
+    list: Listing = Listing()
+    faults: list[AnyFault] = field(default_factory=list)
+
+    @property
+    def places(self) -> int:
+        """How many hosts there ever are."""
+        return sum(entry.count for entry in self.hosts)
+
+
+def us(seconds: float) -> int:
+    return round(seconds * SECOND)
+
+
+def checked(raw: Any, top: str) -> Day:
+    try:
+        day = msgspec.convert(raw, Day)
+    except msgspec.ValidationError as error:
+        # msgspec says what is wrong, and where behind a dollar sign.
+        what, _, where = str(error).partition(" - at `$")
+        raise BadInput(f"{top}: {where.strip('`.') or 'the whole'}: {what}") from None
+    for place, effect in enumerate(day.links.effects):
+        if effect not in {repeat.value for repeat in Repeat}:
+            raise BadInput(f"{top}: links.effects[{place}]: no such effect ({effect!r})")
+    if day.list.late_ms < day.list.soon_ms:
+        raise BadInput(f"{top}: list.late_ms: less than list.soon_ms")
+    absent = 0
+    for place, entry in enumerate(day.hosts):
+        if entry.late > entry.count:
+            raise BadInput(f"{top}: hosts[{place}].late: more than the hosts there are")
+        absent += entry.late
+    for place, fault in enumerate(day.faults):
+        where = f"{top}: faults[{place}]"
+        hosts = getattr(fault, "hosts", 0)
+        if hosts > (absent if isinstance(fault, Join) else day.places):
+            raise BadInput(f"{where}.hosts: more than there are ({hosts})")
+        if isinstance(fault, Kill) and fault.nodes > day.nodes.count:
+            raise BadInput(f"{where}.nodes: more than there are ({fault.nodes})")
+        if isinstance(fault, Cut) and fault.zone >= day.zones:
+            raise BadInput(f"{where}.zone: there are {day.zones}, counted from 0 ({fault.zone})")
+    return day
+
+
+def day_of(path: Path, changes: dict[str, Any] | None = None) -> Day:
+    """The day that a file tells of; changes: other values by their keys, dots between."""
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise BadInput(f"day: can't be read ({error.strerror}: {path})") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise BadInput(f"day: no TOML ({error})") from None
+    for key, value in (changes or {}).items():
+        put(raw, key, value)
+    return checked(raw, "day")
+
+
+def put(raw: dict[str, Any], key: str, value: Any) -> None:
+    """Change one value by its key, as `nodes.count` or `hosts.0.size`."""
+    at: Any = raw
+    words = re.split(r"[.\[\]]+", key.strip("]"))
+    for word in words[:-1]:
+        if isinstance(at, list):
+            if not word.isdigit() or int(word) >= len(at):
+                raise BadInput(f"day: {key}: there is no {word}")
+            at = at[int(word)]
+        else:
+            at = at.setdefault(word, {})
+        if not isinstance(at, dict | list):
+            raise BadInput(f"day: {key}: {word} is a value by itself")
+    if isinstance(at, list):
+        if not words[-1].isdigit() or int(words[-1]) >= len(at):
+            raise BadInput(f"day: {key}: there is no {words[-1]}")
+        at[int(words[-1])] = value
+    else:
+        at[words[-1]] = value
+
+
+def terms_for(day: Day, me: int) -> Terms:
+    """The settings that a node's decisions read on this day."""
+    links = day.links
+    return Terms(
+        me=me,
+        nodes=day.nodes.count,
+        tariffs=tuple(
+            Tariff(
+                us(links.expected_ms / 1e3),
+                us(links.message_ms / 1e3),
+                Repeat(effect),
+                Group.ALL,
+                us(links.memory_s),
+            )
+            for effect in links.effects
+        ),
+        grouped=True,
+        sized=True,
+        asked_list=False,
+        probes=day.network.probes,
+        cancels=True,
+        probe_tells_load=day.network.probes,
+        late_told=True,
+        most_tries=6,
+        longest_return_us=us(links.wait_ms / 2e3),
+        ask_within_us=10 * SECOND,
+        cold_from=day.cold.least,
+        cold_us=us(day.cold.warm_s),
+        tip_multiple=day.cold.tip_multiple,
+        tip_after_us=us(day.cold.tip_s),
+    )
--- a/larchlatch/wirehost/loop.py
+++ b/larchlatch/wirehost/loop.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 import logging
 import random
 import sys
@@ -11,21 +10,22 @@
 
 import orjson
 
-from larchlatch import links
 from larchlatch.brain import Brain
-from larchlatch.links import Answer, Link, Listed, Outcome
+from larchlatch.driving import Driver
+from larchlatch.links import Link, Listed, Outcome
 from larchlatch.terms import BadInput, known, need, terms_of
 from larchlatch.wirehost import codec
 
 log = logging.getLogger("larchlatch")
 
 
-class Instance:
+class Instance(Driver):
     """One node: its brain, the links in its hands and its timers; nothing is shared with another."""
 
     def __init__(self, seed: int, conf: dict[str, Any]) -> None:
         self.terms = terms_of(conf, "POWER_ON: conf")
         self.brain = Brain(self.terms, random.Random(seed))
+        super().__init__(self.brain)
         self.tariffs = {
             need(tariff, "name", str, "POWER_ON: conf.tariffs"): place
             for place, tariff in enumerate(conf["tariffs"])
@@ -35,7 +35,6 @@
         self.names: list[str] = []
         self.in_hand: dict[str, Link] = {}
         self.handles: dict[int, str] = {}
-        self.held: list[tuple[int, int]] = []  # when to ask again, link
         self.numbers = 0
         self.wake_at = 0
         self.actions: list[list[Any]] = []
@@ -64,18 +63,35 @@
         if link is not None:
             self.handles.pop(link.number, None)
 
-    def carry_out(self, now: int, link: Link, answer: Answer) -> None:
+    def link(self, number: int) -> Link | None:
+        handle = self.handles.get(number)
+        return None if handle is None else self.in_hand[handle]
+
+    def send(self, now: int, link: Link, host: int, until: int) -> None:
+        self.actions.append(["TRANSMIT", self.handles[link.number], self.names[host], until])
+
+    def shed(self, now: int, link: Link, back_us: int) -> None:
+        handle = self.handles[link.number]
+        self.actions.append(["PUSH_BACK", handle, back_us])
+        self.drop(handle)
+
+    def give_up(self, now: int, link: Link) -> None:
         handle = self.handles[link.number]
-        if answer.host >= 0:
-            self.actions.append(["TRANSMIT", handle, self.names[answer.host], answer.at])
-        elif answer.host == links.NOT_YET:
-            heapq.heappush(self.held, (answer.at, link.number))
-        elif answer.host == links.SHED:
-            self.actions.append(["PUSH_BACK", handle, answer.at])
-            self.drop(handle)
-        elif answer.host == links.GIVEN_UP:
-            self.actions.append(["DROP_REQUEST", handle])
-            self.drop(handle)
+        self.actions.append(["DROP_REQUEST", handle])
+        self.drop(handle)
+
+    def probe(self, now: int, host: int) -> None:
+        self.actions.append(["POLL", self.names[host]])
+
+    def move(self, now: int, link: int) -> None:
+        self.actions.append(["REASSIGN", self.handles[link]])
+
+    def withdraw(self, now: int, link: int) -> None:
+        handle = self.handles[link]
+        self.actions.append(["REVOKE", handle, self.in_hand[handle].tries - 1])
+
+    def ask_list(self, now: int) -> None:
+        self.actions.append(["TAIL", True])
 
     def hear(self, now: int, name: str, values: list[Any], lists: dict[int, list[Any]]) -> None:
         brain = self.brain
@@ -145,28 +161,13 @@
             )
         self.brain.hosts_listed(now, lines, whole=mode != "diff", asked=mode != "disk")
 
-    def due(self, now: int) -> None:
+    def due(self, now: int) -> int:
         """What has fallen due, once the batch's messages have been heard."""
-        while self.held and self.held[0][0] <= now:
-            _, number = heapq.heappop(self.held)
-            handle = self.handles.get(number)
-            if handle is not None:
-                link = self.in_hand[handle]
-                self.carry_out(now, link, self.brain.place(now, link))
-        due = self.brain.wait(now)
-        self.actions.extend(["POLL", self.names[host]] for host in due.probes)
-        self.actions.extend(["REASSIGN", self.handles[number]] for number in due.moves)
-        for number in due.withdrawn:
-            handle = self.handles[number]
-            self.actions.append(["REVOKE", handle, self.in_hand[handle].tries - 1])
-        if due.ask_list:
-            self.actions.append(["TAIL", True])
-        wake = now + due.wait_us
-        if self.held:
-            wake = min(wake, self.held[0][0])
+        wake = super().due(now)
         if wake < self.wake_at or self.wake_at <= now:
             self.wake_at = max(wake, now + 1)
             self.actions.append(["WAKE_ME", self.wake_at - now, 0])
+        return wake
 
 
 class Fleet:
