--- a/larchlatch/emulator/__init__.py
+++ b/larchlatch/emulator/__init__.py
@@ -1,1 +1,1 @@
-"""Many nodes in one process on a clock of their own: the decisions tried at sizes that sockets don't reach."""
+"""Many nodes in one process on a clock of their own, at sizes that sockets do not reach."""
--- /dev/null
+++ b/larchlatch/emulator/clients.py
@@ -0,0 +1,58 @@
+"""The demand of a day: who comes when, for how long, with what. The same for the emulator and for sockets."""
+
+from __future__ import annotations
+
+from bisect import bisect
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import accumulate
+
+from larchlatch.emulator.clock import Chance
+from larchlatch.emulator.day import Day, us
+
+
+@dataclass(slots=True)
+class Client:
+    """One client of the day: what it brings along, and how far it has come."""
+
+    number: int
+    due: int  # when it comes for the first time
+    life_us: int
+    load: float  # work a second, in microseconds
+    work_us: float  # of a setup
+    key: int
+    group: int
+    tariff: int
+    zone: int
+    ends_at: int = 0  # when it has had what it came for
+    tries: int = 0  # refusals since it last had its link
+    links: int = 0  # ids that it has used
+    done: bool = False
+
+
+def demand(day: Day, chance: Chance) -> Iterator[Client]:
+    """All clients in the order in which they come."""
+    links = day.links
+    arrivals, kinds = chance.stream("arrivals"), chance.stream("clients")
+    sizes = list(accumulate(1 / (place + 1) ** links.skew for place in range(links.groups)))
+    now, end, number = 0.0, day.span_s, 0
+    while True:
+        now += arrivals.expovariate(links.rate)
+        if now >= end:
+            return
+        number += 1
+        # Each draws as often as every other, so that one changed figure leaves the others' chance alone.
+        life, load, work = (kinds.expovariate(1.0) for _ in range(3))
+        group = bisect(sizes, kinds.random() * sizes[-1])
+        tariff, zone = kinds.random(), kinds.random()
+        yield Client(
+            number,
+            us(now),
+            us(life * links.life_s),
+            load * links.load_ms * 1000,
+            work * links.setup_ms * 1000,
+            key=number,
+            group=min(group, links.groups - 1) + 1,
+            tariff=int(tariff * len(links.effects)),
+            zone=int(zone * day.zones),
+        )
--- a/larchlatch/emulator/day.py
+++ b/larchlatch/emulator/day.py
@@ -1,4 +1,4 @@
-"""A day: nodes, hosts, clients, the list, and what goes wrong when. Read and checked here, and nowhere else."""
+"""A day: nodes, hosts, clients, the list, and what goes wrong when; read and checked here alone."""
 
 from __future__ import annotations
 
@@ -26,13 +26,13 @@
     """A key that nobody reads is a slip of the hand."""
 
 
-class Nodes(Strict):
+class Nodes(Strict, frozen=True):
     count: Count = 2
     back_s: Amount = 2.0  # a killed node is back after this, with the list it had
     noticed_s: Amount = 1.0  # until the front no longer sends clients to a node that has died
 
 
-class Hosts(Strict):
+class Hosts(Strict, frozen=True):
     """So many hosts alike; they are spread over the zones."""
 
     count: Count = 4
@@ -40,7 +40,7 @@
     late: Few = 0  # of these, so many are not there at first: `join` brings them
 
 
-class Cold(Strict):
+class Cold(Strict, frozen=True):
     """How a host that starts warms up, and what pushes it over."""
 
     least: Share = 0.2  # the share of its work that it can do at first
@@ -49,7 +49,7 @@
     tip_s: Positive = 1.0
 
 
-class Links(Strict):
+class Links(Strict, frozen=True):
     """Clients come by themselves, whatever became of those before."""
 
     rate: Positive = 20.0  # a second, all together
@@ -69,25 +69,25 @@
     back_ms: Positive = 400.0  # the mean pause before that, where nobody has said better
 
 
-class Network(Strict):
+class Network(Strict, frozen=True):
     near_ms: Amount = 0.3  # one way, within a zone
     far_ms: Amount = 2.0
     dial_ms: Positive = 250.0
     probes: bool = True
 
 
-class Listing(Strict):
+class Listing(Strict, frozen=True):
     """How soon a change of the list is heard at a node: drawn between the two."""
 
     soon_ms: Amount = 50.0
     late_ms: Amount = 400.0
 
 
-class Fault(Strict, tag_field="kind"):
+class Fault(Strict, tag_field="kind", frozen=True):
     at_s: Amount
 
 
-class Slow(Fault, tag="slow"):
+class Slow(Fault, tag="slow", frozen=True):
     """Hosts do their work so many times more slowly."""
 
     hosts: Count = 1
@@ -95,60 +95,60 @@
     for_s: Positive = 10.0
 
 
-class Silent(Fault, tag="silent"):
+class Silent(Fault, tag="silent", frozen=True):
     """Hosts vanish without a word; they come back cold, having forgotten all links."""
 
     hosts: Count = 1
     for_s: Positive = 10.0
 
 
-class Crash(Fault, tag="crash"):
+class Crash(Fault, tag="crash", frozen=True):
     """Hosts' processes die, and come back cold."""
 
     hosts: Count = 1
     for_s: Positive = 2.0
 
 
-class Drain(Fault, tag="drain"):
+class Drain(Fault, tag="drain", frozen=True):
     """Hosts finish what they have, and are gone after that."""
 
     hosts: Count = 1
     for_s: Positive = 10.0
 
 
-class Join(Fault, tag="join"):
+class Join(Fault, tag="join", frozen=True):
     """Hosts that were not there come up, cold."""
 
     hosts: Count = 1
 
 
-class Cut(Fault, tag="cut"):
+class Cut(Fault, tag="cut", frozen=True):
     """A zone can't be reached from the others, nor they from it."""
 
     zone: Few = 0
     for_s: Positive = 8.0
 
 
-class Kill(Fault, tag="kill"):
+class Kill(Fault, tag="kill", frozen=True):
     """Nodes die, their links with them or, where packets pass through, in mid-flow to other nodes."""
 
     nodes: Count = 1
 
 
-class Store(Fault, tag="store"):
+class Store(Fault, tag="store", frozen=True):
     """What all setups need takes so many times as long."""
 
     factor: Positive = 10.0
     for_s: Positive = 10.0
 
 
-class Crowd(Fault, tag="crowd"):
+class Crowd(Fault, tag="crowd", frozen=True):
     """A share of the clients loses its links at once, and comes back."""
 
     share: Share = 0.5
 
 
-class Deaf(Fault, tag="deaf"):
+class Deaf(Fault, tag="deaf", frozen=True):
     """No node hears of the list."""
 
     for_s: Positive = 10.0
@@ -157,7 +157,7 @@
 AnyFault = Slow | Silent | Crash | Drain | Join | Cut | Kill | Store | Crowd | Deaf
 
 
-class Day(Strict):
+class Day(Strict, frozen=True):
     name: str = "day"
     span_s: Annotated[float, Meta(gt=0, le=86_400)] = 30.0
     seed: int = 1
@@ -170,7 +170,7 @@
     cold: Cold = Cold()
     links: Links = Links()
     network: Network = Network()
-    list: Listing = Listing()
+    listing: Listing = Listing()
     faults: list[AnyFault] = field(default_factory=list)
 
     @property
@@ -193,8 +193,8 @@
     for place, effect in enumerate(day.links.effects):
         if effect not in {repeat.value for repeat in Repeat}:
             raise BadInput(f"{top}: links.effects[{place}]: no such effect ({effect!r})")
-    if day.list.late_ms < day.list.soon_ms:
-        raise BadInput(f"{top}: list.late_ms: less than list.soon_ms")
+    if day.listing.late_ms < day.listing.soon_ms:
+        raise BadInput(f"{top}: listing.late_ms: less than listing.soon_ms")
     absent = 0
     for place, entry in enumerate(day.hosts):
         if entry.late > entry.count:
--- /dev/null
+++ b/larchlatch/emulator/nodes.py
@@ -0,0 +1,160 @@
+"""A node of the emulator: its own decisions, driven as the wire's adapter drives them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from larchlatch.driving import Driver
+from larchlatch.emulator.clients import Client
+from larchlatch.emulator.clock import TIMER
+from larchlatch.emulator.plain import Policy
+from larchlatch.links import DONE, Link, Listed, Outcome
+
+if TYPE_CHECKING:
+    from larchlatch.emulator.world import World
+
+
+@dataclass(slots=True)
+class Try:
+    """A setup try that is out."""
+
+    link: int
+    node: Node
+    host: int
+    sent_at: int
+    ends_at: int  # when the node no longer waits
+    held: bool = False  # the link stands at the host, by its own view
+    stands: bool = False  # and by the node's
+    live: bool = True
+
+
+@dataclass(slots=True)
+class Hand:
+    """A link in hand or standing at a node."""
+
+    link: Link
+    client: Client
+    attempt: Try | None = None
+
+
+class Node(Driver):
+    def __init__(self, world: World, number: int, zone: int, decisions: Policy) -> None:
+        super().__init__(decisions)
+        self.policy = decisions
+        self.world = world
+        self.number = number
+        self.zone = zone
+        self.hands: dict[int, Hand] = {}
+        self.list: dict[int, Listed] = {}  # as it was last told
+        self.wake_at = 0
+        self.alive = True
+
+    # What it is told.
+
+    def listed(self, lines: list[Listed], whole: bool, asked: bool = True) -> None:
+        now = self.world.clock.now
+        if whole:
+            self.list.clear()
+        self.list.update({line.host: line for line in lines})
+        for line in lines:
+            self.world.checker.told(now, self.number, line.host, line.state)
+        self.policy.hosts_listed(now, lines, whole=whole, asked=asked)
+        self.look()
+
+    def arrived(self, hand: Hand) -> None:
+        now = self.world.clock.now
+        self.hands[hand.link.number] = hand
+        self.carry_out(now, hand.link, self.policy.place(now, hand.link))
+        self.look()
+
+    def ended(self, attempt: Try, what: Outcome) -> None:
+        """The one outcome of a try, or of the link that it set up."""
+        if not attempt.live or not self.alive:
+            return
+        now = self.world.clock.now
+        attempt.live = attempt.stands = what is Outcome.STANDS
+        self.world.checker.ended(now, attempt.link, what)
+        hand = self.hands.get(attempt.link)
+        if hand is None:
+            return
+        stood = hand.link.open
+        hand.attempt = attempt if attempt.live or stood else None
+        answer = self.policy.outcome(now, hand.link, what, done=stood)
+        if what is Outcome.STANDS:
+            self.world.stands(hand, attempt)
+        elif stood:
+            del self.hands[attempt.link]
+            self.world.broke(hand)
+        elif answer.host != DONE:
+            self.carry_out(now, hand.link, answer)
+        self.look()
+
+    def left(self, link: int) -> None:
+        """The client has ended its link."""
+        hand = self.hands.pop(link, None)
+        if hand is not None:
+            if hand.attempt is not None:
+                hand.attempt.live = False
+            self.policy.left(self.world.clock.now, hand.link)
+            self.look()
+
+    # What it does.
+
+    def link(self, number: int) -> Link | None:
+        hand = self.hands.get(number)
+        return None if hand is None else hand.link
+
+    def send(self, now: int, link: Link, host: int, until: int) -> None:
+        hand = self.hands[link.number]
+        hand.attempt = Try(link.number, self, host, now, until)
+        self.world.tried(hand, hand.attempt)
+
+    def shed(self, now: int, link: Link, back_us: int) -> None:
+        self.world.refused(self.hands.pop(link.number), back_us, shed=True)
+
+    def give_up(self, now: int, link: Link) -> None:
+        self.world.refused(self.hands.pop(link.number), 0, shed=False)
+
+    def probe(self, now: int, host: int) -> None:
+        self.world.probed(self, host)
+
+    def move(self, now: int, link: int) -> None:
+        hand = self.hands.pop(link, None)
+        if hand is not None and hand.attempt is not None:
+            hand.attempt.live = False
+            # Told before it is moved: the decisions have taken it off its host already.
+            self.policy.left(now, hand.link)
+            self.world.moved(hand)
+
+    def withdraw(self, now: int, link: int) -> None:
+        hand = self.hands.get(link)
+        if hand is not None and hand.attempt is not None:
+            attempt = hand.attempt
+            self.world.clock.at(now, TIMER, self.world.given_up, attempt)
+
+    def ask_list(self, now: int) -> None:
+        self.world.tell_whole(self)
+
+    # Its one timer.
+
+    def look(self) -> None:
+        now = self.world.clock.now
+        wake = max(self.due(now), now + 1)
+        if wake < self.wake_at or self.wake_at <= now:
+            self.wake_at = wake
+            self.world.clock.at(wake, TIMER, self.woken, wake)
+
+    def woken(self, at: int) -> None:
+        if self.alive and at == self.wake_at:
+            self.look()
+
+    def stop(self) -> list[Hand]:
+        """It dies: what it had in hand is void."""
+        self.alive = False
+        hands = list(self.hands.values())
+        for hand in hands:
+            if hand.attempt is not None:
+                hand.attempt.live = False
+        self.hands.clear()
+        return hands
