--- a/larchlatch/__main__.py
+++ b/larchlatch/__main__.py
@@ -33,7 +33,37 @@
         sys.exit(2)
 
 
-@click.group()
+TOOLS = ("emulate", "sweep", "plot")
+
+
+class Commands(click.Group):
+    """Commands of the tools are read when they are called: a node needs no more than its own."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return [*super().list_commands(ctx), *TOOLS]
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in TOOLS:
+            return super().get_command(ctx, cmd_name)
+        try:
+            from larchlatch.emulator.commands import COMMANDS
+        except ModuleNotFoundError as error:
+            if (error.name or "").startswith("larchlatch"):
+                raise
+            raise click.ClickException(
+                f"{cmd_name} wants {error.name}: pip install -r requirements-tools.txt"
+            ) from None
+        return COMMANDS[cmd_name]
+
+    def invoke(self, ctx: click.Context) -> object:
+        try:
+            return super().invoke(ctx)
+        except BadInput as error:
+            click.echo(f"larchlatch: {error}", err=True)
+            sys.exit(2)
+
+
+@click.group(cls=Commands)
 def cli() -> None:
     """A balancer for long-lived connections."""
 
--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -174,7 +174,7 @@
 
     def spots(self) -> list[int]:
         """Its points on the ring."""
-        name = self.name.encode()
+        name = self.name.encode().rjust(4, b"#")  # hosts with shorter names share their points
         return [xxh3_64_intdigest(name, token) for token in range(self.tokens)]
 
     def follow(self, line: Listed) -> None:
--- /dev/null
+++ b/larchlatch/emulator/commands.py
@@ -0,0 +1,107 @@
+"""The commands of the emulator and the load tool; read only when one of them is called."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+
+from larchlatch.emulator import sweep as sweeps
+from larchlatch.emulator.day import day_of
+from larchlatch.emulator.plain import POLICIES
+from larchlatch.emulator.world import World
+
+DAY = click.argument("day", type=click.Path(path_type=Path))
+POLICY = click.Choice(list(POLICIES))
+BROKEN = 3  # exit code where a rule was broken
+
+
+def told(row: dict[str, Any]) -> str:
+    return json.dumps(row, separators=(",", ":"))
+
+
+def settings_of(pairs: tuple[str, ...]) -> dict[str, Any]:
+    """KEY=VALUE, each a change to the day's file."""
+    changes = {}
+    for pair in pairs:
+        key, values = sweeps.varied(pair)
+        changes[key] = values[0]
+    return changes
+
+
+@click.command()
+@DAY
+@click.option("--policy", type=POLICY, default="larchlatch", show_default=True)
+@click.option("--set", "changes", multiple=True, metavar="KEY=VALUE", help="Another value of the day's file.")
+@click.option("--seed", type=int, help="Another seed than the day's.")
+@click.option("--trace", type=click.Path(path_type=Path), help="Write all that happens, a line each.")
+def emulate(day: Path, policy: str, changes: tuple[str, ...], seed: int | None, trace: Path | None) -> None:
+    """Play a day in the emulator; exit code 3 if a rule was broken."""
+    more = settings_of(changes) | ({} if seed is None else {"seed": seed})
+    described = day_of(day, more)
+    began = time.perf_counter()
+    if trace is None:
+        world = World(described, policy)
+        row = world.play()
+    else:
+        with trace.open("wb") as out:
+
+            def write(line: bytes) -> None:
+                out.write(line)
+
+            world = World(described, policy, write)
+            row = world.play()
+    took = time.perf_counter() - began
+    click.echo(told({"day": described.name, "policy": policy, "seed": described.seed, **row}))
+    for word in world.checker.words:
+        click.echo(word, err=True)
+    click.echo(f"{row['events'] / took:.0f} events a second", err=True)
+    if not world.checker.kept:
+        sys.exit(BROKEN)
+
+
+@click.command()
+@DAY
+@click.option(
+    "--vary", multiple=True, metavar="KEY=A,B,C", help="What is varied; all combinations are played."
+)
+@click.option("--seeds", type=click.IntRange(1, 10_000), default=5, show_default=True)
+@click.option("--policy", "policies", multiple=True, type=POLICY, default=("larchlatch",))
+@click.option("--jobs", type=click.IntRange(1, 1024), default=lambda: os.cpu_count() or 1)
+@click.option("--figure", default="served", show_default=True, help="What is summed up at the end.")
+def sweep(
+    day: Path, vary: tuple[str, ...], seeds: int, policies: tuple[str, ...], jobs: int, figure: str
+) -> None:
+    """Play a day many times: a row a run on standard output, medians and intervals on standard error."""
+    told_apart = [sweeps.varied(text) for text in vary]
+    rows = []
+    for row in sweeps.rows_of(sweeps.runs_of(day, told_apart, seeds, list(policies)), jobs):
+        click.echo(told(row))
+        rows.append(row)
+    keys = ["policy", *(key for key, _ in told_apart)]
+    for key, at in sweeps.summed(rows, keys, figure).items():
+        words = " ".join(f"{name}={value}" for name, value in zip(keys, key, strict=True))
+        click.echo(f"{words}: {figure} {at.median:.5g} ({at.low:.5g} to {at.high:.5g})", err=True)
+    if any(any(row["broken"].values()) for row in rows):
+        click.echo("a rule was broken: see `broken` in the rows", err=True)
+        sys.exit(BROKEN)
+
+
+@click.command()
+@click.argument("results", type=click.Path(path_type=Path))
+@click.option("--over", required=True, help="The key that was varied.")
+@click.option("--figure", default="served", show_default=True)
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="A PNG.")
+def plot(results: Path, over: str, figure: str, out: Path) -> None:
+    """Draw what a sweep has printed."""
+    from larchlatch.emulator.plot import plot as draw  # matplotlib takes a second to load
+
+    draw(sweeps.read_rows(results), over, figure, out)
+
+
+COMMANDS = {"emulate": emulate, "sweep": sweep, "plot": plot}
--- /dev/null
+++ b/larchlatch/emulator/plot.py
@@ -0,0 +1,34 @@
+"""A picture of a sweep: one figure over one key, a line for each policy, with its interval."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+from larchlatch.emulator.sweep import summed
+from larchlatch.terms import BadInput
+
+matplotlib.use("Agg")  # no screen
+
+from matplotlib import pyplot
+
+
+def plot(rows: list[dict[str, Any]], over: str, figure: str, out: Path) -> None:
+    if not all(over in row for row in rows):
+        raise BadInput(f"results: not every row has {over}")
+    points = summed(rows, ["policy", over], figure)
+    picture, axes = pyplot.subplots(figsize=(7, 4.5), layout="constrained")
+    for policy in dict.fromkeys(policy for policy, _ in points):
+        line = sorted((x, interval) for (name, x), interval in points.items() if name == policy)
+        xs = [x for x, _ in line]
+        axes.plot(xs, [at.median for _, at in line], marker="o", label=str(policy))
+        axes.fill_between(xs, [at.low for _, at in line], [at.high for _, at in line], alpha=0.2)
+    axes.set_xlabel(over)
+    axes.set_ylabel(figure)
+    axes.set_title(f"{rows[0].get('day', 'day')}: median, and the mean's interval of 95%", fontsize=10)
+    axes.legend()
+    axes.grid(alpha=0.3)
+    picture.savefig(out, dpi=120)
+    pyplot.close(picture)
