--- a/larchlatch/emulator/day.py
+++ b/larchlatch/emulator/day.py
@@ -268,7 +268,7 @@
         probes=day.network.probes,
         cancels=True,
         probe_tells_load=day.network.probes,
-        late_told=True,
+        late_told=False,  # as real nodes say
         most_tries=6,
         longest_return_us=us(links.wait_ms / 2e3),
         ask_within_us=10 * SECOND,
