--- a/larchlatch/__main__.py
+++ b/larchlatch/__main__.py
@@ -33,7 +33,7 @@
         sys.exit(2)
 
 
-TOOLS = ("emulate", "sweep", "plot")
+TOOLS = ("emulate", "sweep", "plot", "load")
 
 
 class Commands(click.Group):
--- a/larchlatch/emulator/commands.py
+++ b/larchlatch/emulator/commands.py
@@ -19,6 +19,7 @@
 DAY = click.argument("day", type=click.Path(path_type=Path))
 POLICY = click.Choice(list(POLICIES))
 BROKEN = 3  # exit code where a rule was broken
+VOID = 4  # and where the tool itself was late
 
 
 def told(row: dict[str, Any]) -> str:
@@ -104,4 +105,25 @@
     draw(sweeps.read_rows(results), over, figure, out)
 
 
-COMMANDS = {"emulate": emulate, "sweep": sweep, "plot": plot}
+@click.command()
+@DAY
+@click.option("--set", "changes", multiple=True, metavar="KEY=VALUE", help="Another value of the day's file.")
+@click.option("--seed", type=int, help="Another seed than the day's.")
+@click.option("--address", default="127.0.0.1", show_default=True, help="Loopback; all else is refused.")
+def load(day: Path, changes: tuple[str, ...], seed: int | None, address: str) -> None:
+    """Play a day on sockets: nodes as processes; exit code 3 if a rule was broken, 4 if void."""
+    from larchlatch.load.bounds import address_of, playable
+    from larchlatch.load.play import played
+
+    more = settings_of(changes) | ({} if seed is None else {"seed": seed})
+    described = playable(day_of(day, more))
+    row = played(described, address_of(address))
+    click.echo(told({"day": described.name, "policy": "sockets", "seed": described.seed, **row}))
+    if row["void"]:
+        click.echo("void: this tool itself was too late for its figures to be trusted", err=True)
+        sys.exit(VOID)
+    if any(row["broken"].values()):
+        sys.exit(BROKEN)
+
+
+COMMANDS = {"emulate": emulate, "sweep": sweep, "plot": plot, "load": load}
--- a/larchlatch/emulator/tally.py
+++ b/larchlatch/emulator/tally.py
@@ -35,6 +35,8 @@
             "clients": counts["clients"],
             "links": counts["links"],
             **{name: counts[name] for name in ("delivered", "shed", "given_up", "moved", "dropped")},
+            "lost_with_node": counts["lost with a node"],
+            "abandoned": counts["abandoned"],
             "served": round(self.served_us / self.wanted_us, 5) if self.wanted_us else 1.0,
             "tries_per_link": round(counts["tries"] / links, 4),
             "probes_per_link": round(counts["probes"] / links, 4),
--- /dev/null
+++ b/larchlatch/load/play.py
@@ -0,0 +1,449 @@
+"""Plays a day on sockets: open loop, so that a client's latency runs from when it was due."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from larchlatch.emulator import day as days
+from larchlatch.emulator.clients import Client, demand
+from larchlatch.emulator.clock import Chance
+from larchlatch.emulator.day import SECOND, Day, us
+from larchlatch.emulator.hosts import Condition, Host
+from larchlatch.emulator.tally import Tally, histogram
+from larchlatch.emulator.world import RETURN_US
+from larchlatch.links import Repeat, State
+from larchlatch.load.sites import SOCKETS_US, Directory, Site, Watch
+from larchlatch.node.clock import now_us
+
+START_S = 20.0  # for all nodes to serve
+LATE_US = 50_000  # clients that this tool has started so late, at the 99th percentile, make a result void
+STEP_S = 0.02  # between two looks at its own lag
+END_S = 2.0  # for what is in hand at the end
+EFFECTS = {Repeat.RERUNNABLE: "idempotent", Repeat.TICKETED: "deduplicated", Repeat.EXCLUSIVE: "at_most_once"}
+
+
+def settings_for(day: Day, me: int) -> dict[str, Any]:
+    """What a node's configuration says of this day."""
+    links, cold = day.links, day.cold
+    return {
+        "areas": [f"z{zone}" for zone in range(day.zones)],
+        "caps": {
+            "dial_timeout_us": us(day.network.dial_ms / 1e3),
+            "most_setup_tries": 6,
+            "probes": day.network.probes,
+            "cancel": True,
+            "retry_after": True,
+            "max_retry_after_us": us(links.wait_ms / 2e3),
+        },
+        "discovery": "pushed",
+        "domain": {
+            "groups": True,
+            "message_aim_us": [us(links.message_ms / 1e3)] * len(links.effects),
+            "mode": "proxy",
+            "tells_delay": True,
+        },
+        "me": me,
+        "peers_total": day.nodes.count,
+        "rules": {
+            "ask_within_us": 10 * SECOND,
+            "cold_from": cold.least,
+            "cold_us": us(cold.warm_s),
+            "tip_multiple": cold.tip_multiple,
+            "tip_after_us": us(cold.tip_s),
+        },
+        "tariffs": [
+            {
+                "name": f"t{place}",
+                "expected_time_us": us(links.expected_ms / 1e3),
+                "cut_off_us": us(links.wait_ms / 1e3),
+                "effect": EFFECTS[Repeat(effect)],
+                "repeat_window_us": us(links.memory_s),
+            }
+            for place, effect in enumerate(links.effects)
+        ],
+        "telemetry": {"via": "probe", "fields": ["inflight", "x0"]},
+        "weights": "nominal",
+    }
+
+
+class Place:
+    """One node: its address, and the process that serves there now."""
+
+    def __init__(self, number: int, address: str, port: int) -> None:
+        self.number = number
+        self.address = address
+        self.port = port
+        self.process: asyncio.subprocess.Process | None = None
+        self.front = True
+        self.starts = 0
+        self.kills = 0
+
+
+class Session:
+    def __init__(self, day: Day, address: str = "127.0.0.1") -> None:
+        self.day = day
+        self.address = address
+        self.chance = Chance(day.seed)
+        self.clients = list(demand(day, self.chance))
+        self.watch = Watch()
+        by_key = {f"k{client.key}": client for client in self.clients}
+        self.sites: list[Site] = []
+        absent = []
+        for entry in day.hosts:
+            for place in range(entry.count):
+                number = len(self.sites)
+                host = Host(number, number % day.zones, number % day.cells, entry.size, day.cold)
+                self.sites.append(Site(host, day, by_key, self.watch))
+                if place >= entry.count - entry.late:
+                    absent.append(self.sites[-1])
+        self.absent = absent
+        delays = self.chance.stream("list")
+        low, high = day.listing.soon_ms / 1e3, day.listing.late_ms / 1e3
+        self.directory = Directory(day, lambda: delays.uniform(low, high))
+        self.places: list[Place] = []
+        self.folder = Path()
+        self.tally = Tally()
+        self.lag = histogram()  # how late this tool itself was
+        self.started_late = histogram()  # clients by when they were due
+        self.began = 0.0
+        self.idents = 0
+        self.writers: dict[int, asyncio.StreamWriter] = {}  # of standing links, by client
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    # The whole of it.
+
+    async def play(self) -> dict[str, Any]:
+        with tempfile.TemporaryDirectory() as folder:
+            self.folder = Path(folder)
+            try:
+                await self.start()
+                await self.run()
+            finally:
+                for task in self.tasks:
+                    task.cancel()
+                await asyncio.gather(*self.tasks, return_exceptions=True)
+                for place in self.places:
+                    await self.end(place)
+        late = self.started_late.get_value_at_percentile(99)
+        self.tally.counts["tries"] = sum(site.tries for site in self.sites)
+        self.tally.counts["probes"] = sum(site.probes for site in self.sites)
+        return {
+            **self.tally.row(),
+            "broken": dict(self.watch.broken),
+            "late_p99_ms": late / 1000,
+            "lag_p99_ms": self.lag.get_value_at_percentile(99) / 1000,
+            "void": bool(late > LATE_US),
+        }
+
+    async def start(self) -> None:
+        for site in self.sites:
+            await site.listen(self.address)
+            if site in self.absent:
+                site.host.condition = Condition.ABSENT
+                assert site.server is not None
+                site.server.close()
+            else:
+                self.directory.members[site.host.number] = Directory.member(site, State.READY)
+            self.spawn(site.tick())
+        await self.directory.listen(self.address)
+        for number in range(self.day.nodes.count):
+            place = Place(number, self.address, await free_port(self.address))
+            self.places.append(place)
+        known = self.directory.known()
+        async with asyncio.timeout(START_S):
+            await asyncio.gather(*(self.launch(place, known) for place in self.places))
+
+    def spawn(self, what: Any) -> None:
+        task = asyncio.ensure_future(what)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def launch(self, place: Place, known: dict[str, Any]) -> None:
+        """Start a node's process; returns when it serves."""
+        place.starts += 1
+        raw = {
+            "name": f"n{place.number}",
+            "listen": f"{place.address}:{place.port}",
+            "discovery": f"{self.address}:{self.directory.port}",
+            "seed": f"{self.chance.stream(f'node {place.number} start {place.starts}').getrandbits(64):x}",
+            "limits": {"sockets": 8192},
+            "known": known,
+            "settings": settings_for(self.day, place.number),
+        }
+        path = self.folder / f"n{place.number}.json"
+        path.write_bytes(orjson.dumps(raw))
+        place.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "larchlatch",
+            "serve",
+            "--config",
+            str(path),
+            stdout=(self.folder / f"n{place.number}.log").open("ab"),
+            stderr=asyncio.subprocess.STDOUT,
+            env={**os.environ, "EDGE_CONTROL": "", "TMPDIR": str(self.folder)},
+        )
+        while True:
+            if place.process.returncode is not None:
+                raise RuntimeError(f"node {place.number} ended: {self.log_of(place)}")
+            with suppress(OSError):
+                reader, writer = await asyncio.open_connection(place.address, place.port)
+                writer.write(b"PING\r\n")
+                answer = await reader.readline()
+                writer.close()
+                if answer == b"PONG\r\n":
+                    return
+            await asyncio.sleep(0.02)
+
+    def log_of(self, place: Place) -> str:
+        lines = (self.folder / f"n{place.number}.log").read_text().splitlines()
+        return lines[-1] if lines else "without a word"
+
+    async def end(self, place: Place) -> None:
+        if place.process is not None and place.process.returncode is None:
+            with suppress(ProcessLookupError):
+                place.process.send_signal(signal.SIGKILL)
+            await place.process.wait()
+
+    def now_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def until(self, at_s: float) -> None:
+        await asyncio.sleep(max(0.0, self.began + at_s - self.now_s()))
+
+    async def run(self) -> None:
+        self.began = self.now_s()
+        self.spawn(self.watched())
+        for place, fault in enumerate(self.day.faults):
+            self.spawn(self.befall(place, fault))
+        for client in self.clients:
+            await self.until(client.due / SECOND)
+            late = self.now_s() - self.began - client.due / SECOND
+            self.started_late.record_value(max(1, round(late * SECOND)))
+            self.spawn(self.lives(client))
+        await self.until(self.day.span_s)
+        # Whoever still waits for an answer gets it; standing links end with the day.
+        await asyncio.sleep(min(END_S, self.day.links.wait_ms / 1e3))
+
+    async def watched(self) -> None:
+        while True:
+            due = self.now_s() + STEP_S
+            await asyncio.sleep(STEP_S)
+            self.lag.record_value(max(1, round((self.now_s() - due) * SECOND)))
+
+    # Clients.
+
+    def front(self, client: Client) -> Place | None:
+        there = [place for place in self.places if place.front]
+        near = [place for place in there if place.number % self.day.zones == client.zone] or there
+        if not near:
+            return None
+        return near[int(self.chance.draw("front", client.number, client.links) * len(near))]
+
+    def over(self, client: Client) -> bool:
+        now = self.now_s() - self.began
+        return now >= self.day.span_s or now >= (client.due + client.life_us) / SECOND
+
+    async def lives(self, client: Client) -> None:
+        """A client from its coming to its end."""
+        self.tally.counts["clients"] += 1
+        end = min(self.day.span_s, (client.due + client.life_us) / SECOND)
+        self.tally.wanted_us += end * SECOND - client.due
+        due = client.due / SECOND
+        while not self.over(client):
+            client.links += 1
+            how, back_us = await self.link(client, due)
+            if how == "stood":
+                client.tries = 0
+                low, high = RETURN_US
+                draw = self.chance.draw("return", client.number, client.links)
+                await asyncio.sleep((low + (high - low) * draw) / SECOND)
+                due = self.now_s() - self.began
+                continue
+            client.tries += 1
+            if client.tries > self.day.links.retries:
+                self.tally.counts["abandoned"] += 1
+                return
+            mean = self.day.links.back_ms / 1e3
+            own = mean * 2 * self.chance.draw("back", client.number, client.links)
+            await asyncio.sleep(back_us / SECOND if back_us else own)
+
+    async def link(self, client: Client, due_s: float) -> tuple[str, int]:
+        """One link: whether it stood, and when to come back."""
+        place = self.front(client)
+        if place is None:
+            return "refused", 0
+        try:
+            reader, writer = await asyncio.open_connection(place.address, place.port)
+        except OSError:
+            self.tally.counts["no node there"] += 1
+            return "refused", 0
+        try:
+            self.idents += 1
+            self.tally.counts["links"] += 1
+            ident, wait_ms = f"id{self.idents}", round(self.day.links.wait_ms)
+            text = (
+                f"OPEN {ident} k{client.key} c=t{client.tariff},d={wait_ms},g=g{client.group},h={client.load}"
+            )
+            began = now_us()
+            writer.write(f"{text}\r\n".encode())
+            answer = await self.answered(reader, began)
+            word = answer.split()[0] if answer.split() else b""
+            if word == b"UP":
+                now = self.now_s() - self.began
+                self.tally.stood(0, round((now - due_s) * SECOND))
+                await self.stands(client, place, reader, writer)
+                return "stood", 0
+            if word == b"BUSY":
+                self.tally.counts["shed"] += 1
+                rest = answer.split()[1:]
+                return "refused", int(rest[0]) * 1000 if rest else 0
+            self.tally.counts["given_up" if word else "ended unanswered"] += 1
+        except OSError:
+            self.tally.counts["ended unanswered"] += 1
+        finally:
+            writer.close()
+        return "refused", 0
+
+    async def answered(self, reader: asyncio.StreamReader, began: int) -> bytes:
+        """The one final answer; none in time is a link lost."""
+        limit = self.day.links.wait_ms / 1e3
+        try:
+            async with asyncio.timeout(limit + SOCKETS_US / SECOND + LATE_US / SECOND):
+                return await reader.readline()
+        except TimeoutError:
+            self.watch.broken["lost"] += 1
+            return b""
+
+    async def stands(
+        self, client: Client, place: Place, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Say something at every beat until the client has had enough, or the link ends."""
+        began, kills = self.now_s(), place.kills
+        end = self.began + min(self.day.span_s, (client.due + client.life_us) / SECOND)
+        self.writers[client.number] = writer
+        beat = asyncio.ensure_future(self.beats(writer))
+        try:
+            async with asyncio.timeout_at(end):
+                while (line := await reader.readline()) and line != b"MOVE\r\n":
+                    pass
+                how = "moved" if line else "dropped"
+        except TimeoutError:
+            how = "finished"
+        except OSError:
+            how = "dropped"
+        finally:
+            beat.cancel()
+            left = self.writers.pop(client.number, None) is None
+            self.tally.served_us += (min(self.now_s(), end) - began) * SECOND
+        if how == "dropped":
+            how = "lost by the client" if left else "lost with a node" if place.kills > kills else how
+        self.tally.counts[how] += 1
+
+    async def beats(self, writer: asyncio.StreamWriter) -> None:
+        with suppress(OSError):
+            while True:
+                await asyncio.sleep(self.day.links.beat_s)
+                writer.write(b"still here\r\n")
+
+    # What goes wrong.
+
+    async def befall(self, number: int, fault: days.AnyFault) -> None:
+        await self.until(fault.at_s)
+        chance = self.chance.stream(f"fault {number}")
+        tell = self.directory.change
+        match fault:
+            case days.Slow():
+                chosen = self.some(chance, fault.hosts)
+                for site in chosen:
+                    site.host.slowness *= fault.factor
+                await asyncio.sleep(fault.for_s)
+                for site in chosen:
+                    site.host.slowness /= fault.factor
+            case days.Silent():
+                chosen = self.some(chance, fault.hosts)
+                for site in chosen:
+                    site.host.condition = Condition.SILENT
+                await asyncio.sleep(fault.for_s)
+                await self.rise(chosen)
+            case days.Crash():
+                chosen = self.some(chance, fault.hosts)
+                for site in chosen:
+                    site.crash()
+                await asyncio.sleep(fault.for_s)
+                await self.rise(chosen)
+            case days.Drain():
+                chosen = self.some(chance, fault.hosts)
+                for site in chosen:
+                    site.host.draining = True
+                    await tell(site, State.DRAINING)
+                await asyncio.sleep(fault.for_s)
+                for site in chosen:
+                    site.crash()
+                    site.host.condition = Condition.ABSENT
+                    await tell(site, State.GONE)
+            case days.Join():
+                chosen, self.absent = self.absent[: fault.hosts], self.absent[fault.hosts :]
+                await self.rise(chosen)
+            case days.Kill():
+                alive = [place for place in self.places if place.front]
+                for place in chance.sample(alive, min(fault.nodes, len(alive))):
+                    self.spawn(self.kill(place))
+            case days.Store():
+                for site in self.sites:
+                    site.store_us = round(site.store_us * fault.factor)
+                await asyncio.sleep(fault.for_s)
+                for site in self.sites:
+                    site.store_us = us(self.day.store_ms / 1e3)
+            case days.Crowd():
+                standing = list(self.writers)
+                for client in chance.sample(standing, round(len(standing) * fault.share)):
+                    self.writers.pop(client).transport.abort()
+            case days.Deaf():
+                self.directory.deaf_until = now_us() / SECOND + fault.for_s
+
+    async def rise(self, sites: list[Site]) -> None:
+        for site in sites:
+            await site.rise()
+            await self.directory.change(site, State.READY)
+
+    def some(self, chance: Any, number: int) -> list[Site]:
+        well = [s for s in self.sites if s.host.condition is Condition.WELL and not s.host.draining]
+        chosen: list[Site] = chance.sample(well, min(number, len(well)))
+        return chosen
+
+    async def kill(self, place: Place) -> None:
+        known = self.directory.known()
+        place.kills += 1
+        await self.end(place)
+        nodes = self.day.nodes
+        await asyncio.sleep(min(nodes.noticed_s, nodes.back_s))
+        place.front = False
+        await asyncio.sleep(max(0.0, nodes.back_s - nodes.noticed_s))
+        await self.launch(place, known)
+        place.front = True
+
+
+async def free_port(address: str) -> int:
+    """A port that nobody listens on now."""
+    server = await asyncio.start_server(lambda reader, writer: None, address, 0)
+    port: int = server.sockets[0].getsockname()[1]
+    server.close()
+    await server.wait_closed()
+    return port
+
+
+def played(day: Day, address: str) -> dict[str, Any]:
+    import uvloop
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(Session(day, address).play())
--- /dev/null
+++ b/larchlatch/load/sites.py
@@ -0,0 +1,249 @@
+"""Stand-ins on loopback for hosts and for the list, with the emulator's own host behind each."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+import orjson
+
+from larchlatch.emulator.clients import Client
+from larchlatch.emulator.day import SECOND, Day, us
+from larchlatch.emulator.hosts import TOO_MUCH, Condition, Host
+from larchlatch.links import Repeat, State
+from larchlatch.node.clock import now_us
+from larchlatch.node.wire.lines import PING, PONG, STATS, Opening, opening_of
+
+TICK_S = 1.0
+DROPPED = 0.3  # as the emulator: of the links that are too many, in a tick
+GRACE_US = 500_000  # of the third rule, and 50 ms for the sockets
+SOCKETS_US = 50_000
+PHASES = {State.READY: "in_service", State.DRAINING: "terminating", State.GONE: "terminated"}
+
+
+class Watch:
+    """The rules as hosts see them, counted apart from what nodes say of themselves."""
+
+    def __init__(self) -> None:
+        self.broken = {"lost": 0, "twice": 0, "drain": 0, "cold": 0}
+        self.out: set[str] = set()  # ids with a try out
+        self.seen: set[str] = set()  # ids whose tries may have run
+
+    def tried(self, ident: str, repeat: Repeat) -> None:
+        self.broken["twice"] += ident in self.out or (ident in self.seen and repeat is Repeat.EXCLUSIVE)
+        self.out.add(ident)
+        self.seen.add(ident)
+
+    def ended(self, ident: str, never_ran: bool = False) -> None:
+        self.out.discard(ident)
+        if never_ran:
+            self.seen.discard(ident)
+
+
+class Site:
+    """A host's address: what comes there is answered by the host that stands behind it."""
+
+    def __init__(self, host: Host, day: Day, clients: dict[str, Client], watch: Watch) -> None:
+        self.host = host
+        self.day = day
+        self.clients = clients
+        self.watch = watch
+        self.server: asyncio.Server | None = None
+        self.port = 0
+        self.address = "127.0.0.1"
+        self.tries = 0
+        self.probes = 0
+        self.open: dict[asyncio.StreamWriter, tuple[int, int]] = {}  # each with its link and group
+        self.not_after: int | None = None  # the list has told every node by then to send nothing here
+        self.numbers = 0
+        self.store_us = us(day.store_ms / 1e3)
+        self.repeats = [Repeat(effect) for effect in day.links.effects]
+
+    async def listen(self, address: str) -> None:
+        self.address = address
+        self.server = await asyncio.start_server(self.serve, address, self.port, backlog=1024)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open[writer] = (0, 0)
+        try:
+            line = await reader.readline()
+            while line in (PING, STATS):
+                if self.host.condition is Condition.SILENT:
+                    await asyncio.sleep(3600)
+                self.probes += 1
+                writer.write(PONG if line == PING else self.stats())
+                line = await reader.readline()
+            opening = opening_of(line)
+            if isinstance(opening, Opening):
+                await self.opened(opening, reader, writer)
+            elif line:
+                writer.write(b"SYNTAX\r\n")
+        except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the server's own task: nobody is told of its end
+        finally:
+            number, group = self.open.pop(writer, (0, 0))
+            self.host.remove(number, group, self.day.links.group_ms * 1000)
+            with suppress(OSError, RuntimeError):
+                writer.close()
+
+    def stats(self) -> bytes:
+        now = now_us()
+        return f"PONG x0={self.host.fullness(now):.4f},inflight={len(self.host.links)}\r\n".encode()
+
+    async def opened(
+        self, opening: Opening, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        client, now, host = self.clients[opening.key], now_us(), self.host
+        self.tries += 1
+        self.watch.tried(opening.ident, self.repeats[client.tariff])
+        if self.not_after is not None and now > self.not_after + GRACE_US + SOCKETS_US:
+            self.watch.broken["drain"] += 1
+        if host.pushed(now, client.load):
+            self.watch.broken["cold"] += 1
+        done = host.admit(now, client.work_us)
+        if done is None:
+            self.watch.ended(opening.ident, never_ran=True)
+            writer.write(b"BUSY\r\n")
+            return
+        gone = asyncio.ensure_future(reader.read(1))
+        try:
+            await asyncio.wait([gone], timeout=(done + self.store_us - now_us()) / 1e6)
+            life = host.life
+            if host.condition is Condition.SILENT:
+                await asyncio.sleep(3600)
+            if gone.done():
+                return  # nobody waits any more
+            self.watch.ended(opening.ident)
+            self.numbers += 1
+            self.open[writer] = (self.numbers, client.group)
+            host.add(self.numbers, client.load, client.group, self.day.links.group_ms * 1000)
+            writer.write(b"UP stands\r\n" + f"LOAD {client.load:.1f}\r\n".encode())
+            first = await gone
+            while first and (rest := await reader.readline()):
+                if host.condition is Condition.SILENT:
+                    await asyncio.sleep(3600)
+                if host.life != life:
+                    return
+                await asyncio.sleep(host.message_us(now_us(), us(self.day.links.message_ms / 1e3)) / 1e6)
+                writer.write(first + rest)
+                first = await reader.read(1)
+        finally:
+            gone.cancel()
+            self.watch.ended(opening.ident)
+
+    # What befalls it.
+
+    def reset(self, writers: list[asyncio.StreamWriter]) -> None:
+        for writer in writers:
+            with suppress(OSError, RuntimeError):
+                writer.transport.abort()
+
+    def crash(self) -> None:
+        self.host.condition = Condition.DEAD
+        self.host.stop()
+        if self.server is not None:
+            self.server.close()
+        self.reset(list(self.open))
+
+    async def rise(self) -> None:
+        self.reset(list(self.open))
+        self.host.start(now_us())
+        self.not_after = None
+        if self.server is None or not self.server.is_serving():
+            await self.listen(self.address)
+
+    async def tick(self) -> None:
+        """Drop links where there are far too many."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            over = self.host.fullness(now_us())
+            if self.host.condition is Condition.WELL and over > TOO_MUCH:
+                many = int(len(self.host.links) * DROPPED * (1 - TOO_MUCH / over)) + 1
+                self.reset([writer for writer, (number, _) in self.open.items() if number][:many])
+
+
+class Directory:
+    """The list service: each node has a watch, and is told of changes after a delay of its own."""
+
+    def __init__(self, day: Day, delay_s: Callable[[], float]) -> None:
+        self.day = day
+        self.delay_s = delay_s
+        self.members: dict[int, dict[str, Any]] = {}
+        self.changes: list[dict[str, Any]] = []  # one a revision
+        self.changed = asyncio.Condition()
+        self.deaf_until = 0.0
+        self.port = 0
+
+    def known(self) -> dict[str, Any]:
+        return {"revision": len(self.changes), "complete": True, "members": list(self.members.values())}
+
+    @staticmethod
+    def member(site: Site, state: State) -> dict[str, Any]:
+        host = site.host
+        return {
+            "id": f"h-{host.number}",
+            "host_port": f"{site.address}:{site.port}",
+            "locality": f"z{host.zone}",
+            "cell": host.cell,
+            "phase": PHASES[state],
+            "size": host.size,
+            "up_since_ms": host.came_up // 1000,
+        }
+
+    async def change(self, site: Site, state: State) -> None:
+        entry = self.member(site, state)
+        self.members[site.host.number] = entry
+        if state is State.GONE:
+            del self.members[site.host.number]
+        self.changes.append(entry)
+        if state is not State.READY:
+            late = us(self.day.listing.late_ms / 1e3)
+            site.not_after = max(now_us() + late, int(self.deaf_until * SECOND) + late)
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def listen(self, address: str) -> None:
+        server = await asyncio.start_server(self.serve, address, 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        def chunk(data: bytes) -> None:
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")[0].decode()
+            whole = orjson.dumps(self.known()) + b"\n"
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            if "watch=1" not in head:
+                chunk(whole)
+                writer.write(b"0\r\n\r\n")
+                return
+            told = int(head.partition("from=")[2].split("&")[0].split()[0])
+            while True:
+                if told > len(self.changes):
+                    told = 0
+                if told < len(self.changes):
+                    upto = len(self.changes)
+                    await asyncio.sleep(max(self.delay_s(), self.deaf_until - now_us() / SECOND))
+                    chunk(
+                        orjson.dumps(
+                            {"revision": upto, "complete": False, "members": self.changes[told:upto]}
+                        )
+                        + b"\n"
+                    )
+                    told = upto
+                else:
+                    with suppress(TimeoutError):
+                        async with asyncio.timeout(1.0), self.changed:
+                            await self.changed.wait()
+                    if told == len(self.changes):
+                        chunk(b"\n")
+                await writer.drain()
+        except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            with suppress(OSError, RuntimeError):
+                writer.close()
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,120 @@
+"""The load tool: what it refuses, and one short day on sockets beside the emulator's."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from click.testing import CliRunner
+
+from larchlatch.__main__ import cli
+from larchlatch.emulator.day import checked
+from larchlatch.emulator.world import World
+from larchlatch.links import Repeat
+from larchlatch.load import play
+from larchlatch.load.bounds import playable
+from larchlatch.load.sites import Watch
+from larchlatch.node.lifecycle.plan import plan_from
+from larchlatch.terms import BadInput
+
+SHORT: dict[str, Any] = {
+    "span_s": 6.0,
+    "nodes": {"count": 2, "back_s": 1.0, "noticed_s": 0.3},
+    "hosts": [{"count": 3, "size": 2.0}],
+    "links": {"rate": 15.0, "life_s": 3.0, "beat_s": 0.5, "effects": ["rerunnable", "exclusive"]},
+    "faults": [
+        {"kind": "crash", "at_s": 1.0, "hosts": 1, "for_s": 1.0},
+        {"kind": "kill", "at_s": 2.5, "nodes": 1},
+        {"kind": "drain", "at_s": 3.5, "hosts": 1, "for_s": 1.5},
+        {"kind": "crowd", "at_s": 4.0, "share": 0.5},
+    ],
+}
+
+
+@pytest.mark.parametrize(
+    "address", ["10.0.0.1", "192.168.1.1", "0.0.0.0", "8.8.8.8", "localhost", "::1", "x"]
+)
+def test_no_address_but_loopback_is_played_on(address: str, tmp_path: Path) -> None:
+    (tmp_path / "day.toml").write_text("")
+    result = CliRunner().invoke(cli, ["load", str(tmp_path / "day.toml"), "--address", address])
+    assert result.exit_code == 2 and "address" in result.stderr and address in result.stderr
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"passes": True}, "passes"),
+        ({"faults": [{"kind": "cut", "at_s": 1.0}]}, "faults[0]"),
+        ({"nodes": {"count": 50}}, "nodes.count"),
+        ({"links": {"rate": 9000.0}}, "links.rate"),
+        ({"span_s": 5000.0}, "span_s"),
+        ({"links": {"rate": 400.0, "life_s": 100.0}}, "links.life_s"),
+    ],
+)
+def test_a_day_that_sockets_can_not_carry_is_refused_with_its_key(change: dict[str, Any], key: str) -> None:
+    with pytest.raises(BadInput) as told:
+        playable(checked(change, "day"))
+    assert key in str(told.value)
+
+
+def test_hosts_see_two_tries_at_once_and_an_exclusive_link_run_twice() -> None:
+    watch = Watch()
+    watch.tried("a", Repeat.RERUNNABLE)
+    watch.tried("a", Repeat.RERUNNABLE)  # the first is still out
+    assert watch.broken["twice"] == 1
+    for repeat, never_ran, breaks in (
+        (Repeat.EXCLUSIVE, True, 0),
+        (Repeat.EXCLUSIVE, False, 1),
+        (Repeat.RERUNNABLE, False, 0),
+    ):
+        watch = Watch()
+        watch.tried("a", repeat)
+        watch.ended("a", never_ran)
+        watch.tried("a", repeat)
+        assert watch.broken["twice"] == breaks
+
+
+def test_a_day_is_told_to_nodes_as_a_configuration_that_they_read() -> None:
+    day = checked(SHORT, "day")
+    raw = {
+        "name": "n1",
+        "listen": "127.0.0.1:1",
+        "discovery": "127.0.0.1:2",
+        "seed": "1",
+        "settings": play.settings_for(day, 1),
+    }
+    plan = plan_from(raw)
+    world = World(day)
+    assert plan.terms == world.nodes[1].policy.terms  # type: ignore[attr-defined]
+    assert plan.longest_wait_us == 3_000_000
+
+
+def test_a_short_day_on_sockets_keeps_the_rules_and_serves_as_the_emulator_says() -> None:
+    day = playable(checked(SHORT, "day"))
+    session = play.Session(day)
+    row = asyncio.run(session.play())
+    assert not any(row["broken"].values())
+    assert row["clients"] == len(session.clients) > 50
+    counts = session.tally.counts
+    answered = counts["delivered"] + counts["shed"] + counts["given_up"] + counts["ended unanswered"]
+    assert answered == counts["links"], "each link has one answer, or a node that died"
+    assert counts["ended unanswered"] <= 10 and counts["lost with a node"] > 0 and row["dropped"] > 0
+    assert counts["lost by the client"] > 0
+    assert all(place.process is None or place.process.returncode is not None for place in session.places)
+    # What a machine that is busy makes late may cost a client its life, but not most of them.
+    assert abs(row["served"] - World(day).play()["served"]) < 0.25
+
+
+def test_a_tool_that_was_late_itself_says_that_its_figures_are_void(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    monkeypatch.setattr(play, "LATE_US", 0)
+    (tmp_path / "day.toml").write_text(
+        "span_s = 1.0\n[nodes]\ncount = 1\n[[hosts]]\ncount = 1\n[links]\nrate = 10.0\nlife_s = 1.0\n"
+    )
+    result = CliRunner().invoke(cli, ["load", str(tmp_path / "day.toml")])
+    assert result.exit_code == 4 and "void" in result.stderr
+    assert orjson.loads(result.stdout)["void"] is True
