--- a/larchlatch/load/sites.py
+++ b/larchlatch/load/sites.py
@@ -81,7 +81,7 @@
                 await self.opened(opening, reader, writer)
             elif line:
                 writer.write(b"SYNTAX\r\n")
-        except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        except (OSError, ValueError, RuntimeError, EOFError, asyncio.CancelledError):
             pass  # the server's own task: nobody is told of its end
         finally:
             number, group = self.open.pop(writer, (0, 0))
@@ -242,7 +242,7 @@
                     if told == len(self.changes):
                         chunk(b"\n")
                 await writer.drain()
-        except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        except (OSError, ValueError, RuntimeError, EOFError, asyncio.CancelledError):
             pass
         finally:
             with suppress(OSError, RuntimeError):
