Links stray in wide trouble where the hosts that are well show room

Cause, found with the emulator: with 4 of 8 hosts slow and the others at a third of what they can do, links whose candidates are both slow wait and are shed, as more than a quarter is in trouble; random choice served more. Change: the rule holds back only where the hosts that are well told a mean load over 0.6, or told none; ready() gives hosts.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -75,6 +75,7 @@
 HOT = 2.0  # times the mean load above which both candidates count as crowded
 FULL = 0.9  # probed load over capacity from which a host counts as crowded: messages are late soon after
 EDGE = 0.75  # probed load over capacity from which messages are late now and then: bursts find no room above
+ROOM = 0.6  # mean probed load of the hosts that are well below which they can take the others' links
 UNEVEN = 1.5  # times the mean probed load from which a host is relieved: others have room for what it loses
 PROBE_US = 2 * SECOND  # a probed load serves this long: about as long as load takes to shift between hosts
 WATCH_US = 5 * SECOND  # a host with own links is probed so often: that costs little beside links served late
@@ -297,11 +298,12 @@
         return min(fit, key=lambda host: self.gauge(now, host, mean), default=None)
 
     def wide_trouble(self, now: int) -> bool:
-        """Whether more than a quarter of the hosts that can be reached is slow or at rest."""
-        there = [
-            host for host in self.hosts.values() if host.state is State.READY and not self.absent(now, host)
-        ]
-        return 4 * sum(self.fit(now, host) for host in there) <= 3 * len(there)
+        """Whether more than a quarter of the reachable hosts is slow or at rest, and the others lack room."""
+        there = [host for host in self.ready() if not self.absent(now, host)]
+        fit = [host for host in there if self.fit(now, host)]
+        told = [host.x0 for host in fit if now < host.x0_at + STALE_US]
+        room = bool(told) and sum(told) < ROOM * len(told)
+        return 4 * len(fit) <= 3 * len(there) and not room
 
     def absent(self, now: int, host: Host) -> bool:
         """Whether no connection to a host can be had: it is as good as gone until its next trial."""
@@ -321,15 +323,15 @@
         # Two hosts cannot bear a group that makes up a tenth of a large fleet's links: they would drop them
         # over and over. It spreads along the ring so that none gets more of it than a mean host bears in all,
         # each of its links with a pair of its own among these. Nodes that see it differ only in the last few.
-        return max(2, int(self.share(link) * self.ready()))
+        return max(2, int(self.share(link) * len(self.ready())))
 
     def share(self, link: Link) -> float:
         """Of the last links, how many were kin to this one."""
         kin = self.kin(link)
         return self.lately.count(kin) / (len(self.lately) + PRIOR) if kin else 0.0
 
-    def ready(self) -> int:
-        return sum(host.state is State.READY for host in self.hosts.values())
+    def ready(self) -> list[Host]:
+        return [host for host in self.hosts.values() if host.state is State.READY]
 
     def kin(self, link: Link) -> int:
         """What a link shares a place on the ring with others by: its group, else its key; 0: nothing."""
@@ -417,7 +419,7 @@
         # by so much that it holds should every node have as many in hand as this one; room for chance is kept
         # by a root. The chance is the link's own for the window: asked again, or come again at another node,
         # it draws no second time.
-        share = share or min(1.0, 2 / max(1, self.ready()) + self.share(link))
+        share = share or min(1.0, 2 / max(1, len(self.ready())) + self.share(link))
         wanted = self.terms.nodes * max(1, len(self.asked)) * share * self.weight(link)
         draw = xxh3_64_intdigest(host.name.encode(), ((link.key or link.number) + turn) % 2**64)
         return bool(draw * wanted < (budget**0.5 - 1) ** 2 * 2**64)
@@ -428,7 +430,7 @@
         safe, borne = SAFE, full
         if not full:
             safe = GUESSED
-            warm = [h for h in self.hosts.values() if h.state is State.READY and self.warmth(now, h) >= 1.0]
+            warm = [h for h in self.ready() if self.warmth(now, h) >= 1.0]
             size = sum(h.size for h in warm)
             borne = terms.nodes * sum(len(h.open) for h in warm) / size * host.size if size else 0.0
         # The stated warm-up is the slowest: what a probe has shown of this host holds on, as it only grows.
@@ -457,7 +459,7 @@
 
     def mean_load(self) -> float:
         """Own open links per unit of size over all ready hosts."""
-        ready = [host for host in self.hosts.values() if host.state is State.READY]
+        ready = self.ready()
         size = sum(host.size for host in ready)
         return sum(self.links_at(host) for host in ready if host.open) / size if size else 0.0
 
@@ -479,17 +481,15 @@
         own = self.own(now, host, mean)
         if now >= host.x0_at + STALE_US:
             return own
-        fresh = self.probed_loads(now)
-        total = sum(fresh)
+        fresh = self.told(now)
+        total = sum(h.x0 for h in fresh)
         # The more nodes there are, the less of a host's load is this node's own.
         weight = X0_WEIGHT * self.terms.nodes
         return (own + weight * host.x0 * len(fresh) / total) / (1 + weight) if total else own
 
-    def probed_loads(self, now: int) -> list[float]:
-        """What the ready hosts told when probed of late."""
-        return [h.x0 for h in self.hosts.values() if h.state is State.READY and now < h.x0_at + STALE_US] or [
-            0.0
-        ]
+    def told(self, now: int) -> list[Host]:
+        """The ready hosts that told their load when probed of late."""
+        return [host for host in self.ready() if now < host.x0_at + STALE_US]
 
     def crowded(self, now: int, host: Host, mean: float) -> bool:
         """Whether a host bears far more of this node's links than the others: a hot key, or bad luck."""
@@ -578,7 +578,7 @@
                 if host.number not in named:
                     host.state = State.GONE
         # However many nodes there are, all together then set up about one link a host in this time.
-        self.pace.longest = max(LONGEST_NODE_REST_US, ENTRY_US * self.terms.nodes // max(1, self.ready()))
+        self.pace.longest = max(LONGEST_NODE_REST_US, ENTRY_US * self.terms.nodes // (len(self.ready()) or 1))
         if asked and self.terms.asked_list:
             self.listening, self.asking, self.ask_gap = True, False, ASK_US
         listed = [host for line in lines if (host := self.hosts[line.host]).state is not State.GONE]
@@ -628,7 +628,7 @@
                 host.fills = host.able if self.warmth(now, host) >= 1.0 else 0.0
             # Asked for more than it can do, a host may answer at once and yet serve nobody in time.
             # But where all are as full it would only hand them round.
-            level = self.probed_loads(now)
+            level = [h.x0 for h in self.told(now)] or [0.0]
             bar = min(sum(level) / len(level) * UNEVEN, max(1.0, UNEVEN * self.others(now, host)))
             if x0 > max(EDGE, bar) and not self.terms.late_told:
                 # It has to lose what it is over by, and a little more; then it is looked at again.
@@ -636,9 +636,9 @@
 
     def others(self, now: int, host: Host) -> float:
         """What the other hosts bear by their sizes, as told of late: a large one with room takes much."""
-        told = [h for h in self.hosts.values() if h.state is State.READY and now < h.x0_at + STALE_US]
-        size = sum(h.size for h in told if h is not host)
-        return sum(h.x0 * h.size for h in told if h is not host) / size if size else host.x0
+        told = [h for h in self.told(now) if h is not host]
+        size = sum(h.size for h in told)
+        return sum(h.x0 * h.size for h in told) / size if size else host.x0
 
     def load_note(self, now: int, link: Link, load: float) -> None:
         """A link's load as it is now, in microseconds of work a second."""
@@ -787,7 +787,7 @@
         """Hosts to be probed: a link waits to know its load, it is on probation, or it is watched."""
         if not self.terms.probes:
             return []
-        gaps = {h: gap for h in self.hosts.values() if h.state is State.READY and (gap := self.probe_gap(h))}
+        gaps = {h: gap for h in self.ready() if (gap := self.probe_gap(h))}
         due = [host for host, gap in gaps.items() if now >= host.probed_at + gap]
         for host in due:
             host.probed_at, host.wanted, host.seen = now, False, len(host.open)
@@ -806,7 +806,7 @@
     def moves(self, now: int) -> list[int]:
         """Links to be moved off hosts whose messages have grown slow."""
         moved: list[Link] = []
-        ready = [host for host in self.hosts.values() if host.state is State.READY]
+        ready = self.ready()
         vanished = [host for host in ready if host.unreached and now < host.quiet_until]
         for host in vanished:
             # It resets nothing: a link left there earns nothing, and one sent to try it waits for nothing.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -628,3 +628,24 @@
     cold = [line(number, came_up=now - SECOND) for number in range(3)]
     brain.hosts_listed(now, [*cold, line(3, State.DRAINING)], whole=True, asked=True)
     assert {guess(brain, now, key, key) for key in range(1, 4)} <= {0, 1, 2}
+
+
+@pytest.mark.parametrize(("load", "strays"), [(0.3, True), (0.8, False), (None, False)])
+def test_links_stray_in_wide_trouble_only_where_the_hosts_that_are_well_show_room(
+    load: float | None, strays: bool
+) -> None:
+    now, went = 100 * SECOND, []
+    for key in range(1, 40):
+        brain = Brain(replace(TERMS, probe_tells_load=True, probes=True), random.Random(key))
+        brain.hosts_listed(now, [line(number) for number in range(8)], whole=True, asked=True)
+        link = Link(key, 0, key, key, now + 2 * SECOND)
+        pair, _ = brain.pair(now, link, brain.walk(link))
+        bad = [host.number for host in pair] + [n for n in range(8) if brain.hosts[n] not in pair][:1]
+        for host in brain.hosts.values():
+            host.probed_at = now
+            brain.report(now, host.number, True, load)
+            if host.number in bad:
+                host.slow_until = now + 2 * SECOND
+        went.append(brain.place(now, link).host)
+        assert went[-1] not in bad
+    assert all(host >= 0 for host in went) == strays, "three of eight are slow, both of each link's own too"
