--- a/larchlatch/load/play.py
+++ b/larchlatch/load/play.py
@@ -27,6 +27,7 @@
 START_S = 20.0  # for all nodes to serve
 LATE_US = 50_000  # clients that this tool has started so late, at the 99th percentile, make a result void
 STEP_S = 0.02  # between two looks at its own lag
+MORE_S = 0.2  # for something after the final answer to come
 END_S = 2.0  # for what is in hand at the end
 EFFECTS = {Repeat.RERUNNABLE: "idempotent", Repeat.TICKETED: "deduplicated", Repeat.EXCLUSIVE: "at_most_once"}
 
@@ -287,6 +288,7 @@
         except OSError:
             self.tally.counts["no node there"] += 1
             return "refused", 0
+        kills = place.kills
         try:
             self.idents += 1
             self.tally.counts["links"] += 1
@@ -303,12 +305,18 @@
                 self.tally.stood(0, round((now - due_s) * SECOND))
                 await self.stands(client, place, reader, writer)
                 return "stood", 0
+            # The one final answer, and nothing after it; no answer is right only where the node has died.
+            if word:
+                self.watch.broken["lost"] += await self.more(reader)
+            else:
+                self.watch.broken["lost"] += place.kills == kills
             if word == b"BUSY":
                 self.tally.counts["shed"] += 1
                 rest = answer.split()[1:]
                 return "refused", int(rest[0]) * 1000 if rest else 0
             self.tally.counts["given_up" if word else "ended unanswered"] += 1
         except OSError:
+            self.watch.broken["lost"] += place.kills == kills
             self.tally.counts["ended unanswered"] += 1
         finally:
             writer.close()
@@ -321,9 +329,15 @@
             async with asyncio.timeout(limit + SOCKETS_US / SECOND + LATE_US / SECOND):
                 return await reader.readline()
         except TimeoutError:
-            self.watch.broken["lost"] += 1
             return b""
 
+    async def more(self, reader: asyncio.StreamReader) -> bool:
+        """Whether something follows the final answer."""
+        with suppress(TimeoutError, OSError):
+            async with asyncio.timeout(MORE_S):
+                return bool(await reader.read(1))
+        return False
+
     async def stands(
         self, client: Client, place: Place, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
