--- a/larchlatch/__main__.py
+++ b/larchlatch/__main__.py
@@ -88,9 +88,18 @@
 
 
 @cli.command()
-@WHERE
-def check(config: Path) -> None:
-    """Read a configuration and say what is wrong with it."""
+@click.option("--config", envvar="EDGE_CONFIG", type=click.Path(path_type=Path), help="A configuration.")
+@click.option("--contracts", type=click.Path(path_type=Path), help="Contracts of teams, a TOML file.")
+def check(config: Path | None, contracts: Path | None) -> None:
+    """Read a configuration, or contracts, and say what is wrong with it."""
+    if contracts is not None:
+        from larchlatch.broker.contracts import contracts_of  # msgspec is not for nodes
+
+        told = contracts_of(contracts)
+        click.echo(f"contracts: in order; {len(told.teams)} teams, {len(told.pools)} pools")
+        return
+    if config is None:
+        raise click.UsageError("Missing option '--config' or '--contracts'.")
     plan = read(config)
     click.echo(
         f"{plan.name}: in order; {len(plan.known.members)} hosts known, {len(plan.tariffs)} tariffs, "
--- a/larchlatch/broker/quotas.py
+++ b/larchlatch/broker/quotas.py
@@ -1,4 +1,4 @@
-"""Nested quotas: a tree of levels, each with limits in several dimensions; all levels admit, or none takes anything."""
+"""Nested quotas: a tree of levels with limits in several dimensions. All levels admit, or none does."""
 
 from __future__ import annotations
 
@@ -78,6 +78,7 @@
     hungry: list[int] = field(default_factory=lambda: [-SLOTS * 2] * 3)  # and of the last beyond its share
     admitted: int = 0
     refused: int = 0
+    unnamed: float = 0.0  # the share of a part that no contract names; 0: there are none
     stated: bool = True  # by the contracts; others are made when they first ask, and forgotten when idle
 
     def used(self, what: Dimension, slot: int) -> int:
@@ -227,7 +228,7 @@
         return found
 
     def forget(self, level: Level, slot: int) -> None:
-        """Idle levels that no contract names: one that has used nothing for a window has a fresh budget anyway."""
+        """Idle levels that no contract names: unused for a window, they have a fresh budget anyway."""
         for name, child in list(level.children.items()):
             self.forget(child, slot)
             idle = not child.children and not child.stated and not child.held
--- /dev/null
+++ b/tests/test_broker.py
@@ -0,0 +1,363 @@
+"""The broker's decisions: windows that hold wherever they begin, all or nothing, borrowing, and contracts."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from larchlatch.__main__ import cli
+from larchlatch.broker.broker import Broker, Ticket, Unknown
+from larchlatch.broker.contracts import checked
+from larchlatch.broker.quotas import SLOTS, Dimension, Level, Limits, Quotas, Refusal, Uses, walk
+from larchlatch.terms import BadInput
+
+SECOND = 1_000_000
+START = 1_000 * SECOND
+LATER = START + 2 * SECOND  # the window before the start has passed
+EXAMPLE = Path(__file__).parent.parent / "deploy" / "contracts.example.toml"
+LINK = {Dimension.LINKS: 1}
+
+
+def figures(links: float, held: float = 100_000) -> dict[str, float]:
+    return {"links_per_s": links, "messages_per_s": 10 * links, "held": held}
+
+
+def raw(**teams: float) -> dict[str, Any]:
+    """Teams of one pool of 100 links a second, each with its promise."""
+    return {
+        "pools": [{"name": "p", "able": figures(100)}],
+        "teams": [
+            {
+                "name": name,
+                "service": f"s-{name}",
+                "pool": "p",
+                "setup_ms": 500.0,
+                "promised": figures(rate, 20_000),
+            }
+            for name, rate in teams.items()
+        ],
+    }
+
+
+def tree(pool: int, **shares: int) -> tuple[Quotas, dict[str, Level]]:
+    root = Level("pool", Limits((pool,) * 3, (pool,) * 3))
+    for name, share in shares.items():
+        root.children[name] = Level(name, Limits((share,) * 3, (pool,) * 3), root)
+    return Quotas(root, SECOND, START), root.children
+
+
+# Windows.
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 400_000), st.integers(1, 6)), max_size=150), st.integers(1, 20))
+def test_no_stretch_as_long_as_the_window_holds_more_than_the_limit(
+    asks: list[tuple[int, int]], limit: int
+) -> None:
+    quotas, teams = tree(limit, a=limit)
+    now, taken = LATER, []
+    for gap, number in asks:
+        now += gap
+        if quotas.admit(now, teams["a"], {Dimension.LINKS: number}) is None:
+            taken.append((now, number))
+    for first, _ in taken:
+        assert sum(number for at, number in taken if first <= at < first + SECOND) <= limit
+
+
+def test_in_the_long_run_a_level_gets_its_limit_within_two_in_a_hundred() -> None:
+    quotas, teams = tree(200, a=200)
+    admitted = sum(quotas.admit(LATER + n * 1000, teams["a"], LINK) is None for n in range(60_000))
+    assert 0.98 * 200 * 60 <= admitted <= 200 * 61
+
+
+def test_uses_are_forgotten_after_a_window_and_say_when() -> None:
+    uses = Uses()
+    uses.add(10, 5)
+    assert uses.roll(10 + SLOTS) == 5 and uses.frees(10 + SLOTS, 5) == 1
+    assert uses.roll(11 + SLOTS) == 0
+    uses.add(10**9, 2)
+    uses.add(10**9 + 3, 2)
+    assert uses.frees(10**9 + 3, 1) == SLOTS - 2 and uses.frees(10**9 + 3, 4) == SLOTS + 1
+    assert uses.roll(5) == 4, "a clock that runs back frees nothing"
+
+
+def test_one_who_comes_back_when_told_is_admitted() -> None:
+    quotas, teams = tree(10, a=10)
+    now = LATER
+    for _ in range(10):
+        assert quotas.admit(now, teams["a"], LINK) is None
+    refusal = quotas.admit(now + 1, teams["a"], LINK)
+    assert isinstance(refusal, Refusal) and 0 < refusal.back_us <= SECOND * (SLOTS + 1) // SLOTS
+    assert quotas.admit(now + refusal.back_us + quotas.slot_us, teams["a"], LINK) is None
+
+
+def test_a_node_that_starts_hands_out_no_full_window_at_once() -> None:
+    quotas, teams = tree(100, a=100)
+    at_once = sum(quotas.admit(START, teams["a"], LINK) is None for _ in range(200))
+    in_a_second = sum(quotas.admit(START + n * 5000, teams["a"], LINK) is None for n in range(200))
+    assert at_once <= 2 and 80 <= in_a_second <= 100
+
+
+# Trees.
+
+ASK = st.tuples(
+    st.integers(0, 60_000),
+    st.sampled_from(["link", "end", "message", "new contracts"]),
+    st.sampled_from(["a", "b", "c"]),
+    st.lists(st.sampled_from(["x", "y", "z"]), max_size=3),
+)
+
+
+def nested(rate: float) -> dict[str, Any]:
+    contracts = raw(a=rate, b=30, c=20)
+    for team in contracts["teams"]:
+        team["parts"] = [
+            {"name": "x", "share": 0.5, "parts": [{"name": "x", "share": 0.3, "unnamed": 0.2}]},
+            {"name": "y", "share": 0.3, "most": 0.5, "unnamed": 0.1},
+        ]
+    return contracts
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.lists(ASK, max_size=200))
+def test_over_random_trees_and_arrivals_all_or_nothing_and_all_accounted_for(asks: list[Any]) -> None:
+    broker = Broker(checked(nested(40)), 1, START)
+    now = LATER
+    open_: list[Ticket] = []
+    root = broker.pools["p"].pool
+    for gap, verb, team, path in asks:
+        now += gap
+        before = {id(level): (level.held, level.admitted) for level in walk(root)}
+        if verb == "link":
+            came = broker.link(now, f"s-{team}", tuple(path))
+            touched = {id(level) for level in came.leaf.path()} if isinstance(came, Ticket) else set()
+            for level in walk(root):
+                held, admitted = before.get(id(level), (0, 0))
+                more = id(level) in touched
+                assert (level.held, level.admitted) == (held + more, admitted + more), "all, or nothing"
+            if isinstance(came, Ticket):
+                open_.append(came)
+                slot = now // broker.pools["p"].slot_us
+                for level in came.leaf.path():
+                    assert all(level.used(what, slot) <= level.limits.most[what] for what in Dimension)
+        elif verb == "end" and open_:
+            ticket = open_.pop(len(path) % len(open_))
+            broker.ended(now, ticket)
+            broker.ended(now, ticket)
+        elif verb == "message" and open_:
+            broker.message(now, open_[-1])
+        elif verb == "new contracts":
+            broker.follow(now, checked(nested(10 + 10 * len(path))))
+        for level in walk(root):
+            assert level.held >= sum(child.held for child in level.children.values()) >= 0
+        assert root.held == len(open_), "an admitted link is held until it ends"
+        for row in broker.accounts(now):
+            assert row.used >= 0 and row.borrowed >= 0 and row.lent >= 0
+            assert row.borrowed == 0 or row.used == row.share + row.borrowed
+    for ticket in open_:
+        broker.ended(now, ticket)
+    assert all(level.held == 0 for level in walk(root))
+
+
+def test_a_flood_takes_nothing_from_teams_that_keep_to_their_promise() -> None:
+    """Ten times its budget for a minute; each of the others as alone."""
+    got: dict[bool, dict[str, int]] = {}
+    for flood in (False, True):
+        broker = Broker(checked(raw(a=30, b=30, c=20)), 1, START)
+        chance, counts = random.Random(4), dict.fromkeys("abc", 0)
+        due = [(LATER + round(chance.random() * 60 * SECOND), team) for team in "bc" for _ in range(28 * 60)]
+        due = [(at, team) for at, team in due if team == "b" or chance.random() < 0.65]
+        if flood:
+            due += [(LATER + n * 60 * SECOND // 18_000, "a") for n in range(18_000)]
+        for at, team in sorted(due):
+            came = broker.link(at, f"s-{team}")
+            if isinstance(came, Ticket):
+                counts[team] += 1
+                broker.ended(at, came)
+        got[flood] = counts
+    for team in "bc":
+        assert got[True][team] >= 0.97 * got[False][team], got
+    assert 30 * 60 * 0.97 <= got[True]["a"] <= 100 * 62 - got[True]["b"] - got[True]["c"]
+
+
+def test_what_nobody_uses_is_borrowed_and_paid_back_within_a_window() -> None:
+    quotas, teams = tree(100, a=50, b=50)
+    now = LATER
+    for n in range(3000):
+        now = LATER + n * 1000
+        quotas.admit(now, teams["a"], LINK)
+    slot = now // quotas.slot_us
+    assert teams["a"].used(Dimension.LINKS, slot) >= 97, "all that the other leaves"
+    rows = {row.level: row for row in quotas.accounts(now) if row.what is Dimension.LINKS}
+    assert rows["pool/a"].borrowed == rows["pool/b"].lent > 40
+    # Both ask from now on, in the same instants; the one that is back first in each.
+    admitted = {"a": 0, "b": 0}
+    late = {"a": 0, "b": 0}
+    for n in range(3000):
+        at = now + n * 1000
+        for name in ("b", "a"):
+            took = quotas.admit(at, teams[name], LINK) is None
+            admitted[name] += took
+            late[name] += took and at >= now + SECOND * (SLOTS + 1) // SLOTS
+    assert late["b"] >= 0.95 * 50 * 2 and abs(late["a"] - late["b"]) <= 6, (admitted, late)
+
+
+def test_spare_share_is_parted_by_the_contracts_among_those_who_want_more() -> None:
+    quotas, teams = tree(120, a=20, b=40, c=60)
+    counts = dict.fromkeys("ab", 0)
+    for n in range(20_000):
+        for name in counts:
+            counts[name] += quotas.admit(LATER + n * 1000, teams[name], LINK) is None
+    # c is idle: its 60 go as 20 to 40.
+    assert abs(counts["a"] / (40 * 20) - 1) < 0.05 and abs(counts["b"] / (80 * 20) - 1) < 0.05, counts
+
+
+def test_a_parent_out_of_share_refuses_though_a_child_has_some_and_is_named() -> None:
+    root = Level("pool", Limits((10,) * 3, (10,) * 3))
+    team = root.children["t"] = Level("t", Limits((10,) * 3, (10,) * 3), root)
+    bank = team.children["b"] = Level("b", Limits((8,) * 3, (10,) * 3), team)
+    other = team.children["o"] = Level("o", Limits((2,) * 3, (10,) * 3), team)
+    quotas = Quotas(root, SECOND, START)
+    for _ in range(10):
+        assert quotas.admit(LATER, bank, LINK) is None
+    refusal = quotas.admit(LATER, other, LINK)
+    assert isinstance(refusal, Refusal) and refusal.level == "pool" and refusal.what is Dimension.LINKS
+    assert other.used(Dimension.LINKS, LATER // quotas.slot_us) == 0 and root.admitted == 10
+
+
+def test_held_links_are_never_cut_off_and_count_until_they_end() -> None:
+    contracts = raw(a=50, b=50)
+    contracts["pools"][0]["able"]["held"] = 20
+    for team in contracts["teams"]:
+        team["promised"]["held"] = 10
+    broker = Broker(checked(contracts), 1, START)
+    held = [broker.link(LATER + n, "s-a") for n in range(20)]
+    assert all(isinstance(came, Ticket) for came in held), "b is idle: its part is lent"
+    refusal = broker.link(LATER + 30, "s-b")
+    assert isinstance(refusal, Refusal) and refusal.what is Dimension.HELD
+    ends = iter(held)
+    # The lender is back: what ends goes to it, and the borrower takes nothing while over its own part.
+    for n in range(10):
+        ticket = next(ends)
+        assert isinstance(ticket, Ticket)
+        broker.ended(LATER + 10 * SECOND + n, ticket)
+        assert isinstance(broker.link(LATER + 10 * SECOND + n, "s-b"), Ticket)
+        assert isinstance(broker.link(LATER + 10 * SECOND + n, "s-a"), Refusal)
+
+
+def test_new_contracts_below_what_is_held_cut_nothing_off() -> None:
+    contracts = raw(a=50)
+    broker = Broker(checked(contracts), 1, START)
+    tickets = [broker.link(LATER + n * 20_000, "s-a") for n in range(40)]
+    assert all(isinstance(ticket, Ticket) for ticket in tickets)
+    contracts["pools"][0]["able"]["held"] = contracts["teams"][0]["promised"]["held"] = 30
+    contracts["teams"].append({**contracts["teams"][0], "name": "b", "service": "s-b"})
+    contracts["teams"][0]["promised"] = figures(50, 20)
+    contracts["teams"][1]["promised"] = figures(50, 10)
+    broker.follow(LATER + SECOND, checked(contracts))
+    later = LATER + 3 * SECOND
+    assert broker.pools["p"].pool.held == 40
+    assert isinstance(broker.link(later, "s-a"), Refusal) and isinstance(broker.link(later, "s-b"), Refusal)
+    for ticket in tickets[:25]:
+        assert isinstance(ticket, Ticket)
+        broker.ended(later, ticket)
+    assert isinstance(broker.link(later, "s-a"), Ticket) and isinstance(broker.link(later, "s-b"), Ticket)
+    del contracts["teams"][0]
+    broker.follow(later + 1, checked(contracts))
+    assert isinstance(broker.link(later + 2, "s-a"), Unknown) and broker.pools["p"].pool.held == 17
+
+
+def test_thousands_of_desks_come_and_go_without_a_fresh_budget() -> None:
+    contracts = raw(a=100)
+    contracts["teams"][0]["parts"] = [{"name": "bank", "share": 1.0, "unnamed": 0.01}]
+    broker = Broker(checked(contracts), 1, START)
+    bank = broker.pools["p"].pool.children["a"].children["bank"]
+    seen = set()
+    for n in range(5000):
+        came = broker.link(LATER + n * 20_000, "s-a", ("bank", f"branch-{n}"))
+        assert isinstance(came, Ticket)
+        broker.ended(LATER + n * 20_000, came)
+        seen.add(len(bank.children))
+    assert max(seen) <= 50 * 2, "those idle for a window are forgotten"
+    now = LATER + 200 * SECOND
+    first = broker.link(now, "s-a", ("bank", "desk"))
+    assert isinstance(first, Ticket)
+    broker.pools["p"].forget(broker.pools["p"].pool, now // broker.pools["p"].slot_us)
+    assert bank.children["desk"] is first.leaf, "it holds a link, and has used a part of its window"
+    assert isinstance(broker.link(now, "s-a", ("elsewhere",)), Unknown)
+    assert isinstance(broker.link(now, "s-a", ("bank", "b", "d", "x")), Unknown)
+    assert isinstance(broker.link(now, "s-none"), Unknown) and broker.unknown == 3
+
+
+@pytest.mark.parametrize("nodes", [1, 3, 7])
+def test_all_nodes_together_promise_no_more_than_the_contract(nodes: int) -> None:
+    brokers = [Broker(checked(raw(a=50, b=50)), nodes, START) for _ in range(nodes)]
+    admitted = 0
+    for n in range(2000):
+        for broker in brokers:
+            came = broker.link(LATER + n * 500, "s-a")
+            if isinstance(came, Ticket):
+                admitted += 1
+    assert admitted <= 100 * 1 + nodes, "a second of the whole pool, for the other team is idle"
+    assert admitted >= 100 - 2 * nodes
+
+
+# Contracts.
+
+
+def changed(**more: Any) -> dict[str, Any]:
+    return {**raw(a=50, b=50), **more}
+
+
+@pytest.mark.parametrize(
+    ("contracts", "told"),
+    [
+        (raw(a=60, b=50), ["'a' and 'b'", "links_per_s", "10 too many"]),
+        (raw(a=160), ["'a'", "links_per_s", "60 too many"]),
+        (changed(pools=[]), ["pools"]),
+        (changed(teams=[]), ["teams"]),
+        (changed(window_s=0.0), ["window_s"]),
+        (changed(windw_s=1.0), ["windw_s"]),
+        ({**raw(a=1), "teams": [*raw(a=1)["teams"], *raw(a=1)["teams"]]}, ["teams", "'a' stands twice"]),
+        ({**raw(a=1), "teams": [{**raw(a=1)["teams"][0], "pool": "q"}]}, ["teams[0].pool", "'q'"]),
+        ({**raw(a=9), "teams": [{**raw(a=9)["teams"][0], "most": figures(8)}]}, ["teams[0].most.links"]),
+        ({**raw(a=1), "teams": [{**raw(a=1)["teams"][0], "setup_ms": 0.0}]}, ["teams[0].setup_ms"]),
+        (
+            {
+                **raw(a=1),
+                "teams": [
+                    {**raw(a=1)["teams"][0], "parts": [{"name": n, "share": 0.6} for n in ("x", "y")]},
+                ],
+            },
+            ["teams[0].parts", "0.2 too many"],
+        ),
+        (
+            {
+                **raw(a=1),
+                "teams": [{**raw(a=1)["teams"][0], "parts": [{"name": "x", "share": 0.6, "most": 0.5}]}],
+            },
+            ["teams[0].parts[0].most"],
+        ),
+    ],
+)
+def test_contracts_that_are_wrong_are_refused_by_name(contracts: dict[str, Any], told: list[str]) -> None:
+    with pytest.raises(BadInput) as refused:
+        checked(contracts)
+    assert all(word in str(refused.value) for word in told), str(refused.value)
+
+
+def test_the_command_checks_contracts(tmp_path: Path) -> None:
+    result = CliRunner().invoke(cli, ["check", "--contracts", str(EXAMPLE)])
+    assert result.exit_code == 0 and "2 teams" in result.stdout
+    bad = tmp_path / "contracts.toml"
+    bad.write_text(EXAMPLE.read_text().replace("links_per_s = 200", "links_per_s = 100"))
+    result = CliRunner().invoke(cli, ["check", "--contracts", str(bad)])
+    assert result.exit_code == 2 and result.stderr.count("\n") == 1 and "40 too many" in result.stderr
+    result = CliRunner().invoke(cli, ["check", "--contracts", str(tmp_path / "none")])
+    assert result.exit_code == 2 and "can't be read" in result.stderr
