--- a/larchlatch/broker/contracts.py
+++ b/larchlatch/broker/contracts.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import tomllib
 from pathlib import Path
 from typing import Annotated, Any
 
-import msgspec
-from msgspec import Meta, Struct, field
+from msgspec import Meta, field
 
 from larchlatch.broker.quotas import Dimension, Level, Limits
 from larchlatch.terms import BadInput
+from larchlatch.tomlfile import Strict, converted, read_toml
 
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
 Share = Annotated[float, Meta(ge=0, le=1)]
@@ -20,10 +19,6 @@
 SLACK = 1e-9  # shares are decimal fractions: 0.1 three times is not quite 0.3
 
 
-class Strict(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    """A key that nobody reads is a slip of the hand."""
-
-
 class Figures(Strict, frozen=True):
     links_per_s: Amount
     messages_per_s: Amount
@@ -65,21 +60,11 @@
 
 
 def contracts_of(path: Path) -> Contracts:
-    try:
-        raw = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        raise BadInput(f"contracts: can't be read ({error.strerror}: {path})") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise BadInput(f"contracts: no TOML ({error})") from None
-    return checked(raw)
+    return checked(read_toml(path, "contracts"))
 
 
 def checked(raw: Any) -> Contracts:
-    try:
-        contracts = msgspec.convert(raw, Contracts)
-    except msgspec.ValidationError as error:
-        what, _, where = str(error).partition(" - at `$")
-        raise BadInput(f"contracts: {where.strip('`.') or 'the whole'}: {what}") from None
+    contracts = converted(raw, Contracts, "contracts")
     once([pool.name for pool in contracts.pools], "pools")
     once([team.name for team in contracts.teams], "teams")
     once([team.service for team in contracts.teams], "teams: service")
--- a/larchlatch/emulator/day.py
+++ b/larchlatch/emulator/day.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import re
-import tomllib
 from pathlib import Path
 from typing import Annotated, Any
 
-import msgspec
-from msgspec import Meta, Struct, field
+from msgspec import Meta, field
 
 from larchlatch.links import Group, Repeat, Tariff, Terms
 from larchlatch.terms import BadInput
+from larchlatch.tomlfile import Strict, converted, read_toml
 
 SECOND = 1_000_000  # microseconds
 
@@ -22,10 +21,6 @@
 Share = Annotated[float, Meta(ge=0, le=1)]
 
 
-class Strict(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    """A key that nobody reads is a slip of the hand."""
-
-
 class Nodes(Strict, frozen=True):
     count: Count = 2
     back_s: Amount = 2.0  # a killed node is back after this, with the list it had
@@ -184,12 +179,7 @@
 
 
 def checked(raw: Any, top: str) -> Day:
-    try:
-        day = msgspec.convert(raw, Day)
-    except msgspec.ValidationError as error:
-        # msgspec says what is wrong, and where behind a dollar sign.
-        what, _, where = str(error).partition(" - at `$")
-        raise BadInput(f"{top}: {where.strip('`.') or 'the whole'}: {what}") from None
+    day = converted(raw, Day, top)
     for place, effect in enumerate(day.links.effects):
         if effect not in {repeat.value for repeat in Repeat}:
             raise BadInput(f"{top}: links.effects[{place}]: no such effect ({effect!r})")
@@ -214,12 +204,7 @@
 
 def day_of(path: Path, changes: dict[str, Any] | None = None) -> Day:
     """The day that a file tells of; changes: other values by their keys, dots between."""
-    try:
-        raw = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        raise BadInput(f"day: can't be read ({error.strerror}: {path})") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise BadInput(f"day: no TOML ({error})") from None
+    raw = read_toml(path, "day")
     for key, value in (changes or {}).items():
         put(raw, key, value)
     return checked(raw, "day")
