A piece of a line that lay unread counts for its client like one that is read

Cause: since lines that lay unread are looked at before a connection is made something of, the piece that was there is fed, not read, and did not halve its client's silence; sound slow clients made room like those who had sent nothing.

--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -173,6 +173,8 @@
             self.room.add(quiet, began)
             self.unheard += 1
             client.begun = begun
+            if client.tail:  # a piece of its line was there before anything was made of the connection
+                begun()
             pinged = False
             try:
                 while (line := await client.line()) == say.PING:
