--- a/larchlatch/emulator/plain.py
+++ b/larchlatch/emulator/plain.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Protocol
 
-from larchlatch.brain import Brain
+from larchlatch.brain import Brain, Host
 from larchlatch.links import (
     DONE,
     GIVEN_UP,
@@ -139,7 +139,9 @@
 class Master(Brain):
     """The ring's master alone, by the decisions' own ring."""
 
-    def choose(self, now, link, pair, others, beyond):  # type: ignore[no-untyped-def]  # noqa: ANN001, ANN201
+    def choose(
+        self, now: int, link: Link, pair: list[Host], others: list[Host], beyond: Iterable[Host]
+    ) -> Host | None:
         first = pair[0] if pair else None
         return first if first is not None and self.in_budget(now, first, link) else None
 
