--- a/larchlatch/emulator/checker.py
+++ b/larchlatch/emulator/checker.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from larchlatch.links import Outcome, Repeat, State
@@ -30,8 +29,7 @@
 
 
 class Checker:
-    def __init__(self, cells: Mapping[int, int]) -> None:
-        self.cells = cells
+    def __init__(self) -> None:
         self.cases: dict[int, Case] = {}
         self.told_of: dict[tuple[int, int], int] = {}  # node and host: since when it must send nothing there
         self.broken: dict[str, int] = {"lost": 0, "twice": 0, "drain": 0, "cold": 0}
--- a/larchlatch/emulator/commands.py
+++ b/larchlatch/emulator/commands.py
@@ -12,7 +12,7 @@
 import click
 
 from larchlatch.emulator import sweep as sweeps
-from larchlatch.emulator.day import day_of
+from larchlatch.emulator.day import Day, day_of
 from larchlatch.emulator.plain import POLICIES
 from larchlatch.emulator.world import World
 
@@ -26,13 +26,10 @@
     return json.dumps(row, separators=(",", ":"))
 
 
-def settings_of(pairs: tuple[str, ...]) -> dict[str, Any]:
-    """KEY=VALUE, each a change to the day's file."""
-    changes = {}
-    for pair in pairs:
-        key, values = sweeps.varied(pair)
-        changes[key] = values[0]
-    return changes
+def described_by(path: Path, pairs: tuple[str, ...], seed: int | None) -> Day:
+    """The day of a file; pairs: KEY=VALUE, each a change to it."""
+    changes = {key: values[0] for key, values in map(sweeps.varied, pairs)}
+    return day_of(path, changes if seed is None else {**changes, "seed": seed})
 
 
 @click.command()
@@ -43,8 +40,7 @@
 @click.option("--trace", type=click.Path(path_type=Path), help="Write all that happens, a line each.")
 def emulate(day: Path, policy: str, changes: tuple[str, ...], seed: int | None, trace: Path | None) -> None:
     """Play a day in the emulator; exit code 3 if a rule was broken."""
-    more = settings_of(changes) | ({} if seed is None else {"seed": seed})
-    described = day_of(day, more)
+    described = described_by(day, changes, seed)
     began = time.perf_counter()
     if trace is None:
         world = World(described, policy)
@@ -115,8 +111,7 @@
     from larchlatch.load.bounds import address_of, playable
     from larchlatch.load.play import played
 
-    more = settings_of(changes) | ({} if seed is None else {"seed": seed})
-    described = playable(day_of(day, more))
+    described = playable(described_by(day, changes, seed))
     row = played(described, address_of(address))
     click.echo(told({"day": described.name, "policy": "sockets", "seed": described.seed, **row}))
     if row["void"]:
--- a/larchlatch/emulator/hosts.py
+++ b/larchlatch/emulator/hosts.py
@@ -7,15 +7,17 @@
 
 import heapq
 from collections import Counter
+from collections.abc import Iterator
 from enum import Enum
 
-from larchlatch.emulator.day import SECOND, Cold, us
+from larchlatch.emulator.day import SECOND, Cold, Day, us
 
 QUEUE_US = 2 * SECOND  # a setup that would wait longer for its turn is refused
 FAIR = 0.9  # load over capacity up to which messages are answered at once
 STEEP = 8  # the power by which they are later above it
 LATEST = 40.0  # times the wanted time that a message takes at the most
 TOO_MUCH = 1.5  # load over capacity above which links are dropped
+DROPPED = 0.3  # of the links that are too many, so many are dropped in one tick
 
 
 class Condition(Enum):
@@ -113,6 +115,13 @@
         over = max(1.0, self.fullness(now) / FAIR)
         return round(wanted_us / 10 * min(10 * LATEST, over**STEEP))
 
+    def drops(self, now: int) -> int:
+        """How many links it drops now, as it bears far too much."""
+        over = self.fullness(now)
+        if self.condition is not Condition.WELL or over <= TOO_MUCH:
+            return 0
+        return int(len(self.links) * DROPPED * (1 - TOO_MUCH / over)) + 1
+
     def pushed(self, now: int, load: float) -> bool:
         """Count what is sent to it; whether it is more than a cold host bears."""
         if self.warmth(now) >= 1.0:
@@ -124,3 +133,15 @@
         # The last one is what tips it: a single link is never too much.
         before = sum(some for _, some in self.sent[:-1])
         return before > self.cold.tip_multiple * self.capacity(now) * self.cold.tip_s
+
+
+def hosts_of(day: Day) -> Iterator[Host]:
+    """The hosts of a day, those that come later among them."""
+    number = 0
+    for entry in day.hosts:
+        for place in range(entry.count):
+            host = Host(number, number % day.zones, number % day.cells, entry.size, day.cold)
+            if place >= entry.count - entry.late:
+                host.condition = Condition.ABSENT
+            yield host
+            number += 1
--- a/larchlatch/emulator/tally.py
+++ b/larchlatch/emulator/tally.py
@@ -20,11 +20,9 @@
         self.setup = histogram()  # microseconds from when a link was due until it stood
         self.wanted_us = 0.0  # for how long clients wanted their links, and for how long they were served
         self.served_us = 0.0
-        self.stretches: Counter[int] = Counter()  # links that came to stand, by host
 
-    def stood(self, host: int, took_us: int) -> None:
+    def stood(self, took_us: int) -> None:
         self.counts["delivered"] += 1
-        self.stretches[host] += 1
         self.setup.record_value(max(LEAST_US, min(MOST_US, took_us)))
 
     def row(self) -> dict[str, Any]:
--- a/larchlatch/emulator/world.py
+++ b/larchlatch/emulator/world.py
@@ -13,7 +13,7 @@
 from larchlatch.emulator.clients import Client, demand
 from larchlatch.emulator.clock import CHECK, TIMER, TOLD, WORLD, Chance, Clock
 from larchlatch.emulator.day import SECOND, Day, terms_for, us
-from larchlatch.emulator.hosts import TOO_MUCH, Condition, Host
+from larchlatch.emulator.hosts import Condition, Host, hosts_of
 from larchlatch.emulator.nodes import Hand, Node, Try
 from larchlatch.emulator.plain import POLICIES, Policy
 from larchlatch.emulator.tally import Tally
@@ -22,7 +22,6 @@
 START_US = 1_000 * SECOND  # a day begins then: a time of 0 means long before it
 RETURN_US = (50_000, 250_000)  # a client whose link broke or was moved is back between these
 TICK_US = SECOND  # hosts are looked at for lateness, and drop links, once in this
-DROPPED = 0.3  # of the links that are too many, so many are dropped in one tick
 QUIET_US = 500_000  # as real nodes do: a host that has answered nothing for so long is told of as quiet
 SILENT_US = 1_500_000  # and a line without an answer for so long moves its link
 NEAR = 0.34  # share of the wanted time from which nodes tell what a message takes
@@ -63,17 +62,12 @@
         self.parked: dict[int, Parked] = {}  # of links in mid-flow that have not been tried yet
         self.late: set[tuple[int, int]] = set()  # node and host, told of as late
         self.counted_at: list[int] = []  # by host, up to when its links' time is counted
-        for entry in day.hosts:
-            for place in range(entry.count):
-                number = len(self.hosts)
-                host = Host(number, number % day.zones, number % day.cells, entry.size, day.cold)
-                self.hosts.append(host)
-                self.counted_at.append(START_US)
-                if place >= entry.count - entry.late:
-                    host.condition = Condition.ABSENT
-                else:
-                    self.list[number] = self.line(host, State.READY)
-        self.checker = Checker({host.number: host.cell for host in self.hosts})
+        for host in hosts_of(day):
+            self.hosts.append(host)
+            self.counted_at.append(START_US)
+            if host.condition is Condition.WELL:
+                self.list[host.number] = self.line(host, State.READY)
+        self.checker = Checker()
         count = day.nodes.count
         self.starts = [0] * count
         self.fronts = [True] * count  # whether clients are sent there
@@ -214,7 +208,7 @@
         now, link, client = self.clock.now, hand.link, hand.client
         self.note("stands", link.number, attempt.host)
         self.checker.answered(now, link.number, shed=False)
-        self.tally.stood(attempt.host, now - client.due)
+        self.tally.stood(now - client.due)
         client.tries = 0
         self.where[link.number] = (hand, attempt.node)
         attempt.node.policy.load_note(now, link, client.load)
@@ -370,15 +364,8 @@
             late = took > NEAR * wanted
             if late or self.late:
                 self.tell_delay(host, took, late)
-            over = host.fullness(now)
-            if over > TOO_MUCH:
-                many = int(len(host.links) * DROPPED * (1 - TOO_MUCH / over)) + 1
-                for number in list(host.links)[:many]:
-                    if number in self.where:
-                        hand, node = self.where[number]
-                        assert hand.attempt is not None
-                        way = self.latency(node.zone, host.zone)
-                        self.clock.at(now + way, TOLD, node.ended, hand.attempt, Outcome.CUT)
+            most = list(host.links)[: host.drops(now)]
+            self.cut_off(host, [self.where[number] for number in most if number in self.where])
 
     def tell_delay(self, host: Host, took: int, late: bool) -> None:
         """Each node with links there notes once a second what a message takes, and once when it is over."""
@@ -549,11 +536,7 @@
 
     def sever(self, zone: int, for_s: float) -> None:
         self.cut.add(zone)
-        crossing = [
-            (hand, node)
-            for hand, node in self.where.values()
-            if hand.attempt is not None and self.apart(node.zone, self.hosts[hand.attempt.host].zone)
-        ]
+        crossing = [(hand, node) for hand, node in self.where.values() if self.parted(hand, node)]
         self.hush(crossing, self.parted)
         self.clock.at(self.clock.now + us(for_s), WORLD, self.cut.discard, zone)
 
--- a/larchlatch/load/play.py
+++ b/larchlatch/load/play.py
@@ -17,7 +17,7 @@
 from larchlatch.emulator.clients import Client, demand
 from larchlatch.emulator.clock import Chance
 from larchlatch.emulator.day import SECOND, Day, us
-from larchlatch.emulator.hosts import Condition, Host
+from larchlatch.emulator.hosts import Condition, hosts_of
 from larchlatch.emulator.tally import Tally, histogram
 from larchlatch.emulator.world import RETURN_US
 from larchlatch.links import Repeat, State
@@ -97,16 +97,8 @@
         self.clients = list(demand(day, self.chance))
         self.watch = Watch()
         by_key = {f"k{client.key}": client for client in self.clients}
-        self.sites: list[Site] = []
-        absent = []
-        for entry in day.hosts:
-            for place in range(entry.count):
-                number = len(self.sites)
-                host = Host(number, number % day.zones, number % day.cells, entry.size, day.cold)
-                self.sites.append(Site(host, day, by_key, self.watch))
-                if place >= entry.count - entry.late:
-                    absent.append(self.sites[-1])
-        self.absent = absent
+        self.sites = [Site(host, day, by_key, self.watch) for host in hosts_of(day)]
+        self.absent = [site for site in self.sites if site.host.condition is Condition.ABSENT]
         delays = self.chance.stream("list")
         low, high = day.listing.soon_ms / 1e3, day.listing.late_ms / 1e3
         self.directory = Directory(day, lambda: delays.uniform(low, high))
@@ -149,7 +141,6 @@
         for site in self.sites:
             await site.listen(self.address)
             if site in self.absent:
-                site.host.condition = Condition.ABSENT
                 assert site.server is not None
                 site.server.close()
             else:
@@ -302,7 +293,7 @@
             word = answer.split()[0] if answer.split() else b""
             if word == b"UP":
                 now = self.now_s() - self.began
-                self.tally.stood(0, round((now - due_s) * SECOND))
+                self.tally.stood(round((now - due_s) * SECOND))
                 await self.stands(client, place, reader, writer)
                 return "stood", 0
             # The one final answer, and nothing after it; no answer is right only where the node has died.
--- a/larchlatch/load/sites.py
+++ b/larchlatch/load/sites.py
@@ -11,13 +11,12 @@
 
 from larchlatch.emulator.clients import Client
 from larchlatch.emulator.day import SECOND, Day, us
-from larchlatch.emulator.hosts import TOO_MUCH, Condition, Host
+from larchlatch.emulator.hosts import Condition, Host
 from larchlatch.links import Repeat, State
 from larchlatch.node.clock import now_us
 from larchlatch.node.wire.lines import PING, PONG, STATS, Opening, opening_of
 
 TICK_S = 1.0
-DROPPED = 0.3  # as the emulator: of the links that are too many, in a tick
 GRACE_US = 500_000  # of the third rule, and 50 ms for the sockets
 SOCKETS_US = 50_000
 PHASES = {State.READY: "in_service", State.DRAINING: "terminating", State.GONE: "terminated"}
@@ -159,10 +158,8 @@
         """Drop links where there are far too many."""
         while True:
             await asyncio.sleep(TICK_S)
-            over = self.host.fullness(now_us())
-            if self.host.condition is Condition.WELL and over > TOO_MUCH:
-                many = int(len(self.host.links) * DROPPED * (1 - TOO_MUCH / over)) + 1
-                self.reset([writer for writer, (number, _) in self.open.items() if number][:many])
+            many = self.host.drops(now_us())
+            self.reset([writer for writer, (number, _) in self.open.items() if number][:many])
 
 
 class Directory:
