New contracts with another window are counted by it

Seen on rereading: follow() changed the length of the slots under uses counted by the old ones. Their numbers differ, so with a longer window nothing would have left for good, and with a shorter one all at once. Change: another length begins anew, with the window before as used, as at a start. The test fails without it (10 s after 1 s).

--- a/larchlatch/broker/broker.py
+++ b/larchlatch/broker/broker.py
@@ -109,8 +109,9 @@
         for name, quotas in fresh.pools.items():
             before = self.pools.get(name)
             if before is not None:
-                before.window_us, before.slot_us = quotas.window_us, quotas.slot_us
                 self.graft(now, before, before.pool, quotas.pool)
+                if before.window_us != quotas.window_us:
+                    before.count_by(quotas.window_us)
                 fresh.pools[name] = before
         self.pools = {**{n: q for n, q in self.pools.items() if q.pool.held}, **fresh.pools}
         self.contracts, self.window_us = contracts, fresh.window_us
--- a/larchlatch/broker/quotas.py
+++ b/larchlatch/broker/quotas.py
@@ -7,6 +7,7 @@
 from enum import IntEnum
 
 SLOTS = 64  # of a window: the limit is strict for any stretch of its length, at the cost of 1/65 of the rate
+NEVER = -2 * SLOTS  # a slot longer ago than any window
 SWEEP_SHARE = 4  # idle levels are looked for four times a window
 
 
@@ -74,8 +75,8 @@
     children: dict[str, Level] = field(default_factory=dict)
     uses: tuple[Uses, Uses] = field(default_factory=lambda: (Uses(), Uses()))
     held: int = 0
-    asked: list[int] = field(default_factory=lambda: [-SLOTS * 2] * 3)  # the slot of its last ask
-    hungry: list[int] = field(default_factory=lambda: [-SLOTS * 2] * 3)  # and of the last beyond its share
+    asked: list[int] = field(default_factory=lambda: [NEVER] * 3)  # the slot of its last ask
+    hungry: list[int] = field(default_factory=lambda: [NEVER] * 3)  # and of the last beyond its share
     admitted: int = 0
     refused: int = 0
     unnamed: float = 0.0  # the share of a part that no contract names; 0: there are none
@@ -125,11 +126,18 @@
 
     def __init__(self, pool: Level, window_us: int, now: int) -> None:
         self.pool = pool
+        self.now = now
+        self.count_by(window_us)
+
+    def count_by(self, window_us: int) -> None:
+        """Count by windows of this length from now on."""
+        # Slots of another length have other numbers: uses counted by them would never leave, or at once.
         self.window_us = window_us
         self.slot_us = max(1, window_us // SLOTS)
-        self.now = now
-        self.swept = now // self.slot_us
-        for level in walk(pool):
+        self.swept = self.slot()
+        for level in walk(self.pool):
+            level.uses = (Uses(), Uses())
+            level.asked, level.hungry = [NEVER] * 3, [NEVER] * 3
             self.begin(level)
 
     def begin(self, level: Level) -> None:
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -273,6 +273,19 @@
     assert isinstance(broker.link(later + 2, "s-a"), Unknown) and broker.pools["p"].pool.held == 17
 
 
+@pytest.mark.parametrize("window_s", [0.2, 10.0])
+def test_new_contracts_with_another_window_go_on_by_that(window_s: float) -> None:
+    broker = Broker(checked(raw(a=50)), 1, START)
+    assert isinstance(broker.link(LATER, "s-a"), Ticket)
+    broker.follow(LATER, checked({**raw(a=50), "window_s": window_s}))
+    window = round(window_s * SECOND)
+    at_once = sum(isinstance(broker.link(LATER + 1, "s-a"), Ticket) for _ in range(2000))
+    assert at_once <= 100 * window_s * 0.1 + 1, "no fresh window: the one before counts as used"
+    later = LATER + 3 * window
+    admitted = sum(isinstance(broker.link(later, "s-a"), Ticket) for _ in range(2000))
+    assert admitted == 100 * window_s, "all of a whole window, for nobody else asks"
+
+
 def test_thousands_of_desks_come_and_go_without_a_fresh_budget() -> None:
     contracts = raw(a=100)
     contracts["teams"][0]["parts"] = [{"name": "bank", "share": 1.0, "unnamed": 0.01}]
