Each placement draws where a crowd begins, so that nodes do not all act on one figure

A host at 1.07 with 33 links (s-, 6.2 s) loses 9 of them to moves, reads 0.746 at every node that probes it, gets ten links within 0.3 s, and reads 1.86 half a second later: the moved come back at once, through other nodes, to a host that all of them read as fit (brain.py, crowded: the same bar, 0.9, for all).

Ruled out from the same log: groups spread over too many hosts (reach is what their true share of links asks for, 2 to 9), the work of groups or setups (0.068 cores a link with none, and with three and more setups a second), stale figures (nearly every placement looks first).

Change: choose draws the load from which a host counts as crowded between 0.5 and 0.9 (as random early detection does: Floyd and Jacobson 1993). Where no host on the walk is below it the link's own candidates come first while they are not full, so that nothing strays where nobody has room.

The test places 60 nodes' links by one figure; without the change all go to the pair.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -74,6 +74,7 @@
 TIE = 1.2  # the master must be so many times as loaded as the second for that to be chosen
 HOT = 2.0  # times the mean load above which both candidates count as crowded
 FULL = 0.9  # probed load over capacity from which a host counts as crowded: messages are late soon after
+SPARE = 0.5  # probed load up to which any host takes links: its mean is under that of most full days
 EDGE = 0.75  # probed load over capacity from which messages are late now and then: bursts find no room above
 ROOM = 0.6  # mean probed load of the hosts that are well below which they can take the others' links
 UNEVEN = 1.5  # times the mean probed load from which a host is relieved: others have room for what it loses
@@ -279,9 +280,10 @@
             return open_to[0] if open_to else None
         if link.tries and len(open_to) > 1:
             open_to = [host for host in open_to if host.number != link.host]
-        mean = self.mean_load()
+        # Many nodes read one figure and would all act on it at once: each draws where a crowd begins.
+        mean, bar = self.mean_load(), self.uniform(SPARE, FULL)
         fit = [host for host in open_to if self.fit(now, host)]
-        best = [host for host in fit if not self.crowded(now, host, mean)]
+        best = [host for host in fit if not self.crowded(now, host, mean, bar)]
         if len(best) == 2:
             master, second = (self.gauge(now, host, mean) for host in best)
             return best[1] if TIE * second < master else best[0]
@@ -292,10 +294,12 @@
         # one more host, until all drown in it; and one put on a slow host is one more that earns nothing.
         for host in others if self.wide_trouble(now) else chain(others, beyond):
             if not self.absent(now, host) and self.fit(now, host) and self.in_budget(now, host, link, 1.0):
-                if not self.crowded(now, host, mean):
+                if not self.crowded(now, host, mean, bar):
                     return host
                 fit.append(host)
-        return min(fit, key=lambda host: self.gauge(now, host, mean), default=None)
+        # Where none is below what was drawn, its own candidates come first while they are not full.
+        worst = {h: self.crowded(now, h, mean) or -(h in pair) for h in fit}
+        return min(fit, key=lambda host: (worst[host], self.gauge(now, host, mean)), default=None)
 
     def wide_trouble(self, now: int) -> bool:
         """Whether more than a quarter of the reachable hosts is slow or at rest, and the others lack room."""
@@ -373,16 +377,9 @@
         """The one final answer of a link that will not be delivered."""
         tariff = self.terms.tariffs[link.tariff]
         # Shed says that a retry is harmless: never of a link whose second run would count twice.
-        told_safe = (
-            link.ran_at < 0
-            or tariff.repeat is Repeat.RERUNNABLE
-            or (
-                tariff.repeat is Repeat.TICKETED
-                and tariff.group is Group.ALL
-                and now < link.ran_at + tariff.memory_us
-            )
-        )
-        if not told_safe:
+        remembered = tariff.group is Group.ALL and now < link.ran_at + tariff.memory_us
+        discarded = tariff.repeat is Repeat.TICKETED and remembered
+        if not (link.ran_at < 0 or tariff.repeat is Repeat.RERUNNABLE or discarded):
             return Answer(GIVEN_UP)
         advice = min(self.terms.longest_return_us, int(self.uniform(back, 2 * back)))
         return Answer(SHED, advice)
@@ -491,12 +488,11 @@
         """The ready hosts that told their load when probed of late."""
         return [host for host in self.ready() if now < host.x0_at + STALE_US]
 
-    def crowded(self, now: int, host: Host, mean: float) -> bool:
+    def crowded(self, now: int, host: Host, mean: float, bar: float = FULL) -> bool:
         """Whether a host bears far more of this node's links than the others: a hot key, or bad luck."""
-        if now < host.x0_at + PROBE_US and host.x0 > FULL:
-            return True
         # What a cold host can't do yet is its budget's matter: it would be crowded for half its warm-up.
-        return self.own(now, host, mean) * self.warmth(now, host) > HOT
+        own = self.own(now, host, mean) * self.warmth(now, host)
+        return (now < host.x0_at + PROBE_US and host.x0 > bar) or own > HOT
 
     def fit(self, now: int, host: Host) -> bool:
         return now >= host.slow_until and now >= host.rest_until
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,7 @@
 
 import random
 from dataclasses import replace
-from itertools import pairwise
+from itertools import islice, pairwise
 
 import pytest
 from hypothesis import given, settings
@@ -649,3 +649,24 @@
         went.append(brain.place(now, link).host)
         assert went[-1] not in bad
     assert all(host >= 0 for host in went) == strays, "three of eight are slow, both of each link's own too"
+
+
+def placed_by_many(figure: float, room: float, nodes: int = 60) -> list[int]:
+    """Where so many nodes put a link, all having read the same figures of its pair and of the others."""
+    chosen = []
+    for me in range(nodes):
+        ground = Ground(seed=me, hosts=8, nodes=nodes, me=me, probes=True, probe_tells_load=True)
+        pair = [host.number for host in islice(ground.brain.walk(Link(0, 0, 1, 1, 0)), 2)]
+        for number in range(8):
+            ground.brain.hosts[number].probed_at = ground.now
+            ground.brain.report(ground.now, number, True, figure if number in pair else room, 20.0)
+        chosen.append(ground.arrive().host)
+        assert chosen[-1] >= 0
+    return [chosen.count(number) for number in pair]
+
+
+def test_nodes_that_read_one_figure_do_not_all_act_on_it() -> None:
+    # Danger: a host just relieved reads as fit at every node at once, gets all back, and is full again.
+    assert sum(placed_by_many(0.8, 0.2)) < 40, "its pair stands at the edge, and others have room"
+    assert sum(placed_by_many(0.3, 0.2)) == 60, "it has room: the ordinary path"
+    assert sum(placed_by_many(0.8, 0.85)) == 60, "nobody has room: straying would gain nothing"
