Nodes that know of each other: members by passed-on records, and a switchboard between processes

Need: how many processes act together when parts of the system fail. First who is there, and a rig that cuts them apart.

Change: larchlatch/cluster: members (who is present, silent, has left; no I/O), signed records in datagrams of 1,200 bytes, the operator's file and keys, an actor that decides nothing. `run` loads none of it.

Found by its tests and mended: records passed on in the order of names starved those at the end (200 nodes never agreed); a node whose clock was set back would not have been heard again; a process's first words were read as its former life's.

--- a/larchlatch/__main__.py
+++ b/larchlatch/__main__.py
@@ -11,6 +11,7 @@
 import structlog
 
 from larchlatch import VERSION
+from larchlatch.node.lifecycle.company import Join
 from larchlatch.node.lifecycle.plan import Plan, plan_of
 from larchlatch.node.lifecycle.run import node
 from larchlatch.terms import BadInput
@@ -71,9 +72,17 @@
 @cli.command()
 @WHERE
 @click.option("--verbose", is_flag=True, help="Log what befalls single connections, too.")
-def serve(config: Path, verbose: bool) -> None:
+@click.option("--cluster", type=click.Path(path_type=Path), help="Who is in the cluster, a TOML file.")
+@click.option(
+    "--cluster-key",
+    envvar="LARCHLATCH_CLUSTER_KEY",
+    type=click.Path(path_type=Path),
+    help="This node's secret key, as `cluster-key` writes it.  [env: LARCHLATCH_CLUSTER_KEY]",
+)
+def serve(config: Path, verbose: bool, cluster: Path | None, cluster_key: Path | None) -> None:
     """Run one node until SIGTERM; SIGHUP rereads its configuration, SIGUSR1 prints its counters."""
     plan = read(config)
+    join = None if cluster is None else joining(plan.name, cluster, cluster_key)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -84,14 +93,43 @@
         wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG if verbose else logging.INFO),
         logger_factory=structlog.PrintLoggerFactory(),
     )
-    anyio.run(node, plan, config, backend_options={"use_uvloop": True})
+    anyio.run(node, plan, config, join, backend_options={"use_uvloop": True})
+
+
+def joining(name: str, path: Path, key: Path | None) -> Join:
+    """How the node joins its cluster; what is wrong with file or key is said now, not when it runs."""
+    from larchlatch.cluster.actor import Cluster  # nodes without a cluster load none of it
+    from larchlatch.cluster.file import fleet_of, own_seal, secret_of
+
+    if key is None:
+        raise click.UsageError("--cluster wants '--cluster-key' as well")
+    secret = secret_of(key)
+    own_seal(fleet_of(path), name, secret)
+    return lambda counters, chance: Cluster(name, path, secret, counters, chance)
+
+
+@cli.command()
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="The secret key; must not exist.")
+def cluster_key(out: Path) -> None:
+    """Make a node's key: the secret one into a file, the public one, for the cluster file, printed."""
+    from larchlatch.cluster.file import new_secret
+
+    click.echo(new_secret(out))
 
 
 @cli.command()
 @click.option("--config", envvar="EDGE_CONFIG", type=click.Path(path_type=Path), help="A configuration.")
 @click.option("--contracts", type=click.Path(path_type=Path), help="Contracts of teams, a TOML file.")
-def check(config: Path | None, contracts: Path | None) -> None:
-    """Read a configuration, or contracts, and say what is wrong with it."""
+@click.option("--cluster", type=click.Path(path_type=Path), help="Who is in the cluster, a TOML file.")
+def check(config: Path | None, contracts: Path | None, cluster: Path | None) -> None:
+    """Read a configuration, contracts or a cluster file, and say what is wrong with it."""
+    if cluster is not None:
+        from larchlatch.cluster.file import fleet_of
+
+        fleet = fleet_of(cluster)
+        sites = {peer.site for peer in fleet.peers.values()}
+        click.echo(f"cluster: in order; {len(fleet.peers)} nodes, {len(sites)} sites")
+        return
     if contracts is not None:
         from larchlatch.broker.contracts import contracts_of  # msgspec is not for nodes
 
@@ -99,7 +137,7 @@
         click.echo(f"contracts: in order; {len(told.teams)} teams, {len(told.pools)} pools")
         return
     if config is None:
-        raise click.UsageError("Missing option '--config' or '--contracts'.")
+        raise click.UsageError("Missing option '--config', '--contracts' or '--cluster'.")
     plan = read(config)
     click.echo(
         f"{plan.name}: in order; {len(plan.known.members)} hosts known, {len(plan.tariffs)} tariffs, "
--- /dev/null
+++ b/larchlatch/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Nodes that know of each other; loaded only where a cluster file is given."""
--- /dev/null
+++ b/larchlatch/cluster/actor.py
@@ -0,0 +1,164 @@
+"""The cluster's actor: its socket, its beat, its keys. Decides nothing; members/ does."""
+
+from __future__ import annotations
+
+import socket
+import time
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import anyio
+import structlog
+
+from larchlatch.cluster.file import fleet_of, own_seal
+from larchlatch.cluster.members.exchange import Exchange
+from larchlatch.cluster.members.members import Change, Members, State
+from larchlatch.cluster.wire.datagrams import MOST_BYTES
+from larchlatch.cluster.wire.keys import Checks
+from larchlatch.node.memory.counters import Counters
+from larchlatch.terms import BadInput
+
+ROOM = 1 << 20  # bytes that may lie unread: a node that is stopped for a while must not lose what is newest
+AT_ONCE = 200  # datagrams read before others have their turn: a flood must not keep the node from its links
+LEAVING_BEATS = 3  # so often it is said that this node leaves
+
+log = structlog.get_logger()
+
+
+class Cluster:
+    def __init__(self, name: str, path: Path, secret: str, counters: Counters, chance: Random) -> None:
+        """BadInput where the file or the key is not in order."""
+        self.name = name
+        self.path = path
+        fleet = fleet_of(path)
+        self.fleet = fleet
+        self.counters = counters
+        self.clock = time.monotonic_ns
+        wall = time.time_ns() // 1000
+        self.members = Members(name, list(fleet.peers), fleet.beat_us, wall, self.now(), chance)
+        self.exchange = Exchange(
+            self.members, self.keys(), own_seal(fleet, name, secret), Checks(), counters.add
+        )
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, ROOM)
+
+    def keys(self) -> dict[str, bytes]:
+        return {name: peer.key for name, peer in self.fleet.peers.items()}
+
+    def now(self) -> int:
+        return self.clock() // 1000
+
+    @staticmethod
+    def wall() -> int:
+        return time.time_ns() // 1000
+
+    async def run(self) -> None:
+        """Until cancelled."""
+        with self.sock:
+            await self.bound()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.listen)
+                try:
+                    await self.beat()
+                finally:
+                    self.leave()
+
+    async def bound(self) -> None:
+        address, told = self.fleet.peers[self.name].address, False
+        while True:
+            try:
+                self.sock.bind(address)
+            except OSError as error:
+                # In an upgrade the process before this one has it still. Two of one name must not both speak:
+                # each would take the other for an earlier life of its own, and outbid it for ever.
+                if not told:
+                    log.warning("the cluster's address can't be had yet", why=str(error))
+                told = True
+                await anyio.sleep(self.members.beat_us / 1e6)
+            else:
+                log.info("cluster", listen=f"{address[0]}:{address[1]}", members=len(self.fleet.peers))
+                return
+
+    async def listen(self) -> None:
+        while True:
+            await anyio.wait_readable(self.sock)
+            for _ in range(AT_ONCE):
+                try:
+                    data, _ = self.sock.recvfrom(MOST_BYTES + 1)
+                except (BlockingIOError, InterruptedError):
+                    break
+                except OSError:
+                    self.counters.add("cluster: receive failed")
+                    break
+                self.counters.add("cluster: bytes in", len(data))
+                self.counters.add("cluster: datagram in")
+                self.changed(self.exchange.take(data, self.wall()))
+            await anyio.lowlevel.checkpoint()
+
+    def changed(self, changes: list[Change]) -> None:
+        for change in changes:
+            self.counters.add(f"cluster: member {change.state.value}")
+            log.info("member", name=change.name, state=change.state.value)
+
+    async def beat(self) -> None:
+        alone = False
+        while True:
+            self.send()
+            if self.members.alone is not alone:
+                alone = self.members.alone
+                log.warning("no other node is heard" if alone else "other nodes are heard again")
+            await anyio.sleep(self.members.beat_us / 1e6)
+
+    def send(self) -> None:
+        beat = self.exchange.beat(self.now(), self.wall())
+        self.changed(beat.changes)
+        for name, data in beat.datagrams:
+            try:
+                self.sock.sendto(data, self.fleet.peers[name].address)
+            except OSError:
+                self.counters.add("cluster: send failed")
+                continue
+            self.counters.add("cluster: bytes out", len(data))
+            self.counters.add("cluster: datagram out")
+
+    def leave(self) -> None:
+        """Said when this node ends by itself: others need not wait for its silence."""
+        self.members.leaving = True
+        for _ in range(LEAVING_BEATS):
+            self.send()
+
+    def reread(self) -> None:
+        """A new file: members that are gone are forgotten at once, those that stay are kept."""
+        try:
+            fleet = fleet_of(self.path)
+            if self.name not in fleet.peers:
+                raise BadInput(f"cluster: nodes: this node is not among them ({self.name})")
+        except BadInput as error:
+            self.counters.add("cluster: file refused")
+            log.error("cluster file refused", why=str(error))
+            return
+        self.counters.add("cluster: file read")
+        if fleet.peers[self.name] != self.fleet.peers[self.name]:
+            log.warning("changes that want a restart", keys=[f"nodes: {self.name}"])
+            fleet.peers[self.name] = self.fleet.peers[self.name]
+        self.fleet = fleet
+        self.exchange.keys = self.keys()
+        self.members.beat_us = fleet.beat_us
+        self.members.follow(list(fleet.peers))
+
+    def told(self) -> list[dict[str, Any]]:
+        """Member by member; see docs/operating-cluster.md."""
+        return [
+            {
+                "member": told.name,
+                "site": self.fleet.peers[told.name].site,
+                "state": told.state.value,
+                "age_ms": told.age_us // 1000 if told.state is not State.UNHEARD else None,
+                "direct": told.direct,
+                "hears_us": told.hears_us,
+                "incarnation": told.incarnation,
+            }
+            for told in self.members.told()
+        ]
--- /dev/null
+++ b/larchlatch/cluster/file.py
@@ -0,0 +1,116 @@
+"""The operator's file that says who is in the fleet, and with which keys."""
+
+from __future__ import annotations
+
+import os
+import secrets
+from pathlib import Path
+from typing import Annotated, Any
+
+from msgspec import Meta
+
+from larchlatch.cluster.wire.keys import PUBLIC_BYTES, Key, Seal, key_of, seal_of
+from larchlatch.terms import BadInput
+from larchlatch.tomlfile import Strict, converted, read_toml
+
+NAME_BYTES = 32  # a record names its origin: long names leave room for fewer records in a datagram
+MOST_NODES = 1000
+
+Name = Annotated[str, Meta(min_length=1, max_length=NAME_BYTES)]
+Address = Annotated[str, Meta(min_length=1, max_length=64)]
+
+
+class Entry(Strict, frozen=True):
+    """One node: where it is reached by the others, and what its records are checked by."""
+
+    name: Name
+    address: Address
+    key: str
+    site: str = ""
+
+
+class Raw(Strict, frozen=True):
+    nodes: Annotated[list[Entry], Meta(min_length=1, max_length=MOST_NODES)]
+    beat_ms: Annotated[int, Meta(ge=20, le=10_000)] = 200
+
+
+class Peer(Strict, frozen=True):
+    name: str
+    address: tuple[str, int]
+    site: str
+    key: Key
+
+
+class Fleet(Strict, frozen=True):
+    """A cluster file, read and checked."""
+
+    peers: dict[str, Peer]
+    beat_us: int
+
+
+def address_of(text: str, where: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+        raise BadInput(f"{where}: not an address with a port ({text[:60]!r})")
+    return host, int(port)
+
+
+def fleet_from(raw: Any, top: str) -> Fleet:
+    read = converted(raw, Raw, top)
+    peers: dict[str, Peer] = {}
+    taken: dict[tuple[str, int], str] = {}
+    for place, entry in enumerate(read.nodes):
+        where = f"{top}: nodes[{place}]"
+        if entry.name in peers:
+            raise BadInput(f"{where}.name: there are two of this name ({entry.name})")
+        if len(entry.name.encode()) > NAME_BYTES:
+            raise BadInput(f"{where}.name: longer than {NAME_BYTES} bytes")
+        address = address_of(entry.address, f"{where}.address")
+        if address in taken:
+            raise BadInput(f"{where}.address: {taken[address]} has it as well ({entry.address})")
+        key = key_of(entry.key)
+        if key is None:
+            raise BadInput(f"{where}.key: not {PUBLIC_BYTES} bytes as hexadecimal digits")
+        if any(key == peer.key for peer in peers.values()):
+            raise BadInput(f"{where}.key: another node has it as well")
+        peers[entry.name] = Peer(name=entry.name, address=address, site=entry.site, key=key)
+        taken[address] = entry.name
+    return Fleet(peers=peers, beat_us=read.beat_ms * 1000)
+
+
+def fleet_of(path: Path) -> Fleet:
+    """Who is in the fleet, by this file; BadInput with one line that names the key."""
+    return fleet_from(read_toml(path, "cluster"), "cluster")
+
+
+def own_seal(fleet: Fleet, name: str, secret: str) -> Seal:
+    """What this node signs with; BadInput where the file knows it by another key, or not at all."""
+    if name not in fleet.peers:
+        raise BadInput(f"cluster: nodes: this node is not among them ({name})")
+    seal = seal_of(secret)
+    if seal is None:
+        raise BadInput("cluster key: not 32 bytes as hexadecimal digits")
+    if seal.public != fleet.peers[name].key:
+        raise BadInput(f"cluster key: not the one that the file has for {name}")
+    return seal
+
+
+def secret_of(path: Path) -> str:
+    try:
+        return path.read_text(encoding="ascii").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        why = error.strerror if isinstance(error, OSError) else "not hexadecimal digits"
+        raise BadInput(f"cluster key: can't be read ({why}: {path})") from None
+
+
+def new_secret(path: Path) -> str:
+    """A new secret key in a file of its own that only its owner reads; what the cluster file has for it."""
+    secret = secrets.token_hex(32)
+    seal = seal_of(secret)
+    assert seal is not None
+    try:
+        with os.fdopen(os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600), "w") as out:
+            out.write(secret + "\n")
+    except OSError as error:
+        raise BadInput(f"cluster key: can't be written ({error.strerror}: {path})") from None
+    return seal.public.hex()
--- /dev/null
+++ b/larchlatch/cluster/members/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: decided without I/O."""
--- /dev/null
+++ b/larchlatch/cluster/members/members.py
@@ -0,0 +1,227 @@
+"""Who is there, by records that members pass on (gossip of heartbeats, van Renesse et al. 1998). No I/O.
+
+Times are whole microseconds: `now` of a clock that never runs back, `wall` of Unix time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+from typing import NamedTuple
+
+from larchlatch.cluster.wire.datagrams import MOST_BYTES, OVERHEAD, Record, Signed, Unread, size_of
+
+USUAL_BEAT_US = 200_000  # for which the figures here were measured
+FAN_OUT = 3  # members that a beat goes to: a record reaches all in a few beats, also with one in five lost
+BASE_SILENCE_US = 1_600_000  # eight usual beats: by six, some of eight were misjudged at one in five lost
+# Records of the whole fleet go round, about twenty a beat: at one in five lost the oldest of all pairs was
+# 0.07 to 0.08 s a member old, from 50 to 200 members (docs/cluster.md).
+SILENCE_A_MEMBER_US = 90_000
+MOST_BEATS = 3  # of silence that one look may add: whoever was stopped heard nobody, and has to listen first
+APART_US = 30_000_000  # wall clocks may be so far apart; older records may be another day's, played again
+DIRECT_ROUNDS = 4  # of its shuffled order, in each of which a member is sent to once, until it is not heard
+
+
+class State(Enum):
+    UNHEARD = "unheard"
+    PRESENT = "present"
+    SILENT = "silent"
+    LEFT = "left"
+
+
+@dataclass(slots=True)
+class Member:
+    """What is known of another node."""
+
+    name: str
+    record: Record | None = None
+    signed: Signed | None = None
+    quiet_us: int = 0  # in own beats, since its record was last renewed
+    direct_us: int = -1  # the same since a record of it came from itself; -1: never
+    passed: int = 0  # how often that record was passed on
+    silent: bool = False
+    false_verdicts: int = 0  # taken for silent, and then heard of in the same incarnation
+
+    def stale(self) -> tuple[int, int]:
+        """The less, the sooner its record is passed on."""
+        return self.passed, -self.record.made_us if self.record is not None else 0
+
+
+class Told(NamedTuple):
+    """One member, for whoever operates the node."""
+
+    name: str
+    state: State
+    age_us: int
+    direct: bool  # heard from itself of late
+    incarnation: int
+    hears_us: bool  # it says that it has heard this node
+
+
+class Change(NamedTuple):
+    name: str
+    state: State
+
+
+class Members:
+    def __init__(
+        self, me: str, names: Sequence[str], beat_us: int, wall: int, now: int, chance: Random
+    ) -> None:
+        self.me = me
+        self.shuffle: Callable[[list[str]], None] = chance.shuffle
+        self.beat_us = beat_us
+        self.incarnation = wall
+        self.number = 0
+        self.looked_at = now
+        self.leaving = False
+        self.members: dict[str, Member] = {}
+        self.order: list[str] = []  # who gets the next beats
+        self.places: dict[str, int] = {}
+        self.follow(names)
+
+    def follow(self, names: Sequence[str]) -> None:
+        """Who belongs to the fleet, by the operator's file; what is known of those that stay is kept."""
+        self.members = {n: self.members.get(n, Member(n)) for n in sorted(names) if n != self.me}
+        self.order = [name for name in self.order if name in self.members]
+        self.places = {name: place for place, name in enumerate(sorted({*names, self.me}))}
+
+    @property
+    def silence_us(self) -> int:
+        """After so long without news of it a member counts as silent."""
+        of_all = SILENCE_A_MEMBER_US * len(self.members) * self.beat_us // USUAL_BEAT_US
+        return max(BASE_SILENCE_US, 8 * self.beat_us, of_all)
+
+    # What comes.
+
+    def news(self, record: Record, wall: int) -> Unread | bool:
+        """Whether a record that can't be trusted yet is worth a check of its signature."""
+        if record.name == self.me:
+            return record.incarnation > self.incarnation
+        member = self.members.get(record.name)
+        if member is None:
+            return Unread.STRANGER
+        if member.record is not None and record.age <= member.record.age:
+            return False
+        if record.made_us < wall - APART_US:
+            return Unread.STALE
+        if record.made_us > wall + APART_US:
+            return Unread.EARLY
+        return True
+
+    def heard(self, record: Record, signed: Signed, direct: bool) -> Change | None:
+        """A record that is news, and whose signature holds; direct: its origin has sent it itself."""
+        if record.name == self.me:
+            # An earlier life of this node had a clock that was ahead: nobody would listen to this one.
+            self.incarnation, self.number = record.incarnation + 1, 0
+            return None
+        member = self.members[record.name]
+        before = self.state(member)
+        if member.silent and member.record is not None and member.record.incarnation == record.incarnation:
+            member.false_verdicts += 1
+        member.record, member.signed = record, signed
+        member.quiet_us, member.passed, member.silent = 0, 0, False
+        if direct:
+            member.direct_us = 0
+        after = self.state(member)
+        return Change(member.name, after) if after is not before else None
+
+    # What goes.
+
+    def look(self, now: int) -> list[Change]:
+        """Count the silence since the last look; who has fallen silent by it."""
+        # A node that was stopped could not hear: what it has missed is not the others' silence.
+        passed = min(max(0, now - self.looked_at), MOST_BEATS * self.beat_us)
+        self.looked_at = max(self.looked_at, now)
+        changes = []
+        for member in self.members.values():
+            member.quiet_us += passed
+            if member.direct_us >= 0:
+                member.direct_us += passed
+            if (
+                not member.silent
+                and self.state(member) is State.PRESENT
+                and member.quiet_us > self.silence_us
+            ):
+                member.silent = True
+                changes.append(Change(member.name, State.SILENT))
+        return changes
+
+    def own(self, wall: int) -> Record:
+        """This node's next record."""
+        self.number += 1
+        bits = bytearray(-(-len(self.places) // 8))
+        for member in self.members.values():
+            if self.direct(member):
+                place = self.places[member.name]
+                bits[place // 8] |= 1 << place % 8
+        return Record(self.me, self.incarnation, self.number, wall, self.leaving, bytes(bits))
+
+    def targets(self) -> list[str]:
+        """Whom the next beat goes to: all in turn, in an order that is drawn anew each round."""
+        chosen: list[str] = []
+        while len(chosen) < min(FAN_OUT, len(self.members)):
+            if not self.order:
+                self.order = list(self.members)
+                self.shuffle(self.order)
+            name = self.order.pop()
+            if name not in chosen:
+                chosen.append(name)
+        return chosen
+
+    def passed_on(self, own: Signed) -> list[Signed]:
+        """What a beat holds: the own record, then as many as fit of those passed on least often."""
+        room = MOST_BYTES - OVERHEAD - size_of(own)
+        records = [own]
+        # What is silent is no news, and stays here. What has not been passed on yet goes first, the newest
+        # before the rest: in the order of names, or in turn, old news takes the room of new.
+        waiting = [m for m in self.members.values() if m.signed is not None and not m.silent]
+        for member in sorted(waiting, key=Member.stale):
+            assert member.signed is not None
+            if size_of(member.signed) > room:
+                break
+            room -= size_of(member.signed)
+            records.append(member.signed)
+            member.passed += 1
+        return records
+
+    # What is told.
+
+    def direct(self, member: Member) -> bool:
+        """Whether it was heard itself of late."""
+        round_us = self.beat_us * -(-len(self.members) // FAN_OUT)
+        within = max(self.silence_us, DIRECT_ROUNDS * round_us)
+        return 0 <= member.direct_us <= within and not member.silent
+
+    def state(self, member: Member) -> State:
+        if member.record is None:
+            return State.UNHEARD
+        if member.record.leaving:
+            return State.LEFT
+        return State.SILENT if member.silent else State.PRESENT
+
+    def hears(self, name: str, other: str) -> bool:
+        """Whether a member says that it has heard another itself."""
+        record = self.members[name].record
+        place = self.places[other]
+        bits = record.heard if record is not None else b""
+        return place // 8 < len(bits) and bool(bits[place // 8] & 1 << place % 8)
+
+    def told(self) -> list[Told]:
+        return [
+            Told(
+                member.name,
+                self.state(member),
+                member.quiet_us,
+                self.direct(member),
+                member.record.incarnation if member.record is not None else 0,
+                self.hears(member.name, self.me),
+            )
+            for member in self.members.values()
+        ]
+
+    @property
+    def alone(self) -> bool:
+        """Whether nobody else is heard, though there are others."""
+        return bool(self.members) and all(self.state(m) is not State.PRESENT for m in self.members.values())
--- a/larchlatch/days/day.py
+++ b/larchlatch/days/day.py
@@ -9,7 +9,7 @@
 from msgspec import Meta, field
 
 from larchlatch.days.amounts import SECOND, Amount, Count, Few, Positive, Share, us
-from larchlatch.days.faults import AnyFault, Cut, Join, Kill
+from larchlatch.days.faults import BETWEEN, AnyFault, Cut, Join, Kill, Part, Stall
 from larchlatch.links import Group, Repeat, Tariff, Terms
 from larchlatch.terms import BadInput
 from larchlatch.tomlfile import Strict, converted, read_toml
@@ -72,6 +72,13 @@
     late_ms: Amount = 400.0
 
 
+class Cluster(Strict, frozen=True):
+    """Whether nodes know of each other."""
+
+    on: bool = False
+    beat_ms: Annotated[int, Meta(ge=20, le=10_000)] = 200
+
+
 class Day(Strict, frozen=True):
     name: str = "day"
     span_s: Annotated[float, Meta(gt=0, le=86_400)] = 30.0
@@ -86,6 +93,7 @@
     links: Links = Links()
     network: Network = Network()
     listing: Listing = Listing()
+    cluster: Cluster = Cluster()
     faults: list[AnyFault] = field(default_factory=list)
 
     @property
@@ -111,8 +119,15 @@
         hosts = getattr(fault, "hosts", 0)
         if hosts > (absent if isinstance(fault, Join) else day.places):
             raise BadInput(f"{where}.hosts: more than there are ({hosts})")
-        if isinstance(fault, Kill) and fault.nodes > day.nodes.count:
+        if isinstance(fault, Kill | Stall | Part) and fault.nodes > day.nodes.count:
             raise BadInput(f"{where}.nodes: more than there are ({fault.nodes})")
+        if isinstance(fault, BETWEEN) and not day.cluster.on:
+            raise BadInput(f"{where}: cluster.on is false: nodes don't talk to each other")
+        if isinstance(fault, Part):
+            if (fault.nodes > 0) is (fault.zone >= 0):
+                raise BadInput(f"{where}: one of nodes and zone says who is cut off")
+            if fault.zone >= day.zones:
+                raise BadInput(f"{where}.zone: there are {day.zones}, counted from 0 ({fault.zone})")
         if isinstance(fault, Cut) and fault.zone >= day.zones:
             raise BadInput(f"{where}.zone: there are {day.zones}, counted from 0 ({fault.zone})")
     return day
--- a/larchlatch/days/faults.py
+++ b/larchlatch/days/faults.py
@@ -6,7 +6,8 @@
 from random import Random
 from typing import Protocol, TypeVar
 
-from larchlatch.days.amounts import Amount, Count, Few, Positive, Share
+from larchlatch.days.amounts import Amount, Count, Few, Positive, Share, us
+from larchlatch.days.paths import Manner
 from larchlatch.tomlfile import Strict
 
 H = TypeVar("H")
@@ -84,7 +85,34 @@
     for_s: Positive = 10.0
 
 
-AnyFault = Slow | Silent | Crash | Drain | Join | Cut | Kill | Store | Crowd | Deaf
+class Part(Fault, tag="part", frozen=True):
+    """Nodes and the others don't hear each other; oneway: they are not heard, but hear. `nodes` or `zone`."""
+
+    nodes: Few = 0
+    zone: int = -1
+    oneway: bool = False
+    for_s: Positive = 8.0
+
+
+class Lossy(Fault, tag="lossy", frozen=True):
+    """All paths between nodes lose, double, reorder and delay."""
+
+    loss: Share = 0.0
+    double: Share = 0.0
+    reorder: Share = 0.0
+    delay_ms: Amount = 0.0
+    for_s: Positive = 8.0
+
+
+class Stall(Fault, tag="stall", frozen=True):
+    """Nodes' processes are stopped, and go on after that."""
+
+    nodes: Count = 1
+    for_s: Positive = 3.0
+
+
+AnyFault = Slow | Silent | Crash | Drain | Join | Cut | Kill | Store | Crowd | Deaf | Part | Lossy | Stall
+BETWEEN = (Part, Lossy)  # what befalls the talk between nodes, where there is any
 
 
 class Player(Protocol[H, N]):
@@ -113,6 +141,12 @@
     def store(self, factor: float) -> None: ...
     def scatter(self, share: float, chance: Random) -> None: ...
     def deafen(self, for_s: float) -> None: ...
+    def of_zone(self, zone: int) -> Sequence[N]: ...
+    def part(self, nodes: Sequence[N], oneway: bool) -> None: ...
+    def join(self, nodes: Sequence[N], oneway: bool) -> None: ...
+    def treat(self, manner: Manner) -> None: ...
+    def stall(self, node: N) -> None: ...
+    def wake(self, node: N) -> None: ...
 
 
 def strike(player: Player[H, N], fault: AnyFault, chance: Random) -> None:
@@ -122,6 +156,10 @@
         well = player.well()
         return chance.sample(well, min(number, len(well)))
 
+    def some_nodes(number: int) -> list[N]:
+        alive = player.alive()
+        return chance.sample(alive, min(number, len(alive)))
+
     match fault:
         case Slow():
             for host in some(fault.hosts):
@@ -146,8 +184,7 @@
             player.sever(fault.zone)
             player.later(fault.for_s, player.mend, fault.zone)
         case Kill():
-            alive = player.alive()
-            for node in chance.sample(alive, min(fault.nodes, len(alive))):
+            for node in some_nodes(fault.nodes):
                 player.kill(node)
         case Store():
             player.store(fault.factor)
@@ -156,3 +193,14 @@
             player.scatter(fault.share, chance)
         case Deaf():
             player.deafen(fault.for_s)
+        case Part():
+            cut = player.of_zone(fault.zone) if fault.zone >= 0 else some_nodes(fault.nodes)
+            player.part(cut, fault.oneway)
+            player.later(fault.for_s, player.join, cut, fault.oneway)
+        case Lossy():
+            player.treat(Manner(fault.loss, fault.double, fault.reorder, us(fault.delay_ms / 1e3)))
+            player.later(fault.for_s, player.treat, Manner())
+        case Stall():
+            for node in some_nodes(fault.nodes):
+                player.stall(node)
+                player.later(fault.for_s, player.wake, node)
--- a/larchlatch/emulator/crowd.py
+++ b/larchlatch/emulator/crowd.py
@@ -69,13 +69,34 @@
         self.stage.clock.at(late, CHECK, self.stage.checker.due, late, number)
         if parked is not None:
             self.stage.parked[number] = parked
-        node.arrived(Hand(link, client))
+        hand = Hand(link, client)
+        node.arrived(hand)
+        if node.backlog is not None:
+            self.doubt(hand, node)
 
     def gone(self, client: Client, parked: Parked | None = None) -> None:
         client.done = True
         if parked is not None:
             self.stage.free(parked.host, parked.link, client)
 
+    def doubt(self, hand: Hand, node: Node) -> None:
+        """The node is stopped: a client whose time is up before it goes on leaves without an answer."""
+        self.stage.clock.at(hand.link.cut_off, WORLD, self.left_alone, hand, node)
+
+    def left_alone(self, hand: Hand, node: Node) -> None:
+        number = hand.link.number
+        if node.backlog is None or not node.alive or hand.gone or number in self.stage.where:
+            return
+        hand.gone = True
+        self.stage.note("left alone", number)
+        self.stage.tally.counts["ended unanswered"] += 1
+        self.stage.checker.over(number)
+        parked = self.stage.parked.pop(number, None)
+        if parked is not None:
+            self.stage.free(parked.host, parked.link, hand.client)
+        node.left(number)
+        self.again(hand.client, 0)
+
     def again(self, client: Client, back_us: int) -> None:
         """After a refusal: when it was told to, else after a pause of its own."""
         client.tries += 1
--- a/larchlatch/emulator/network.py
+++ b/larchlatch/emulator/network.py
@@ -108,7 +108,7 @@
             self.clock.at(now + 2 * way, TOLD, self.report, node, number, figures)
 
     def report(self, node: Node, number: int, figures: tuple[float, float] | None) -> None:
-        if node.alive:
+        if node.alive and not node.waits(self.report, node, number, figures):
             x0, held = figures if figures is not None else (None, None)
             node.policy.report(self.clock.now, number, figures is not None, x0, held)
             node.look()
--- a/larchlatch/emulator/nodes.py
+++ b/larchlatch/emulator/nodes.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 from larchlatch.days.clients import Client
 from larchlatch.driving import Driver
@@ -34,6 +35,7 @@
     link: Link
     client: Client
     attempt: Try | None = None
+    gone: bool = False  # its client has left without an answer
 
 
 class Clients(Protocol):
@@ -79,10 +81,29 @@
         self.list: dict[int, Listed] = {}  # as it was last told
         self.wake_at = 0
         self.alive = True
+        self.backlog: list[tuple[Callable[..., None], tuple[Any, ...]]] | None = None  # None: it runs
+
+    # Its process stopped, and going on.
+
+    def stall(self) -> None:
+        self.backlog = []
+
+    def waits(self, what: Callable[..., None], *args: Any) -> bool:
+        """Whether this has to wait, as the node is stopped; it is heard when that is over."""
+        if self.backlog is not None:
+            self.backlog.append((what, args))
+        return self.backlog is not None
+
+    def wake(self) -> None:
+        backlog, self.backlog = self.backlog or [], None
+        for what, args in backlog:
+            what(*args)
 
     # What it is told.
 
     def listed(self, lines: list[Listed], whole: bool, asked: bool = True) -> None:
+        if self.waits(self.listed, lines, whole, asked):
+            return
         now = self.around.clock.now
         if whole:
             self.list.clear()
@@ -93,6 +114,8 @@
         self.look()
 
     def arrived(self, hand: Hand) -> None:
+        if hand.gone or self.waits(self.arrived, hand):
+            return
         now = self.around.clock.now
         self.hands[hand.link.number] = hand
         self.carry_out(now, hand.link, self.policy.place(now, hand.link))
@@ -100,7 +123,7 @@
 
     def ended(self, attempt: Try, what: Outcome) -> None:
         """The one outcome of a try, or of the link that it set up."""
-        if not attempt.live or not self.alive:
+        if not attempt.live or not self.alive or self.waits(self.ended, attempt, what):
             return
         now = self.around.clock.now
         attempt.live = attempt.stands = what is Outcome.STANDS
@@ -127,7 +150,8 @@
             if hand.attempt is not None:
                 hand.attempt.live = False
             self.policy.left(self.around.clock.now, hand.link)
-            self.look()
+            if self.backlog is None:
+                self.look()
 
     # What it does.
 
@@ -176,6 +200,8 @@
             self.around.clock.at(wake, TIMER, self.woken, wake)
 
     def woken(self, at: int) -> None:
+        if self.alive and self.waits(self.woken, at):
+            return
         if self.alive and at == self.wake_at:
             self.look()
 
--- a/larchlatch/emulator/world.py
+++ b/larchlatch/emulator/world.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any
 
@@ -11,7 +11,9 @@
 from larchlatch.days.day import Day, terms_for
 from larchlatch.days.faults import AnyFault, strike
 from larchlatch.days.hosts import Condition, Host
+from larchlatch.days.paths import Manner
 from larchlatch.emulator.clock import WORLD
+from larchlatch.emulator.company import Company
 from larchlatch.emulator.crowd import Crowd
 from larchlatch.emulator.listing import Listing
 from larchlatch.emulator.network import Network
@@ -43,6 +45,7 @@
         self.around = Around(self.clock, self.checker, self.crowd, self.network, self.listing)
         self.starts = [0] * day.nodes.count
         self.nodes = self.stage.nodes
+        self.company = Company(self.stage) if day.cluster.on else None
         self.nodes += [self.node(place) for place in range(day.nodes.count)]
 
     def node(self, place: int) -> Node:
@@ -62,6 +65,7 @@
             self.stage.count(host)
         return {
             **self.stage.tally.row(),
+            **(self.company.row() if self.company is not None else {}),
             "broken": dict(self.checker.broken),
             "events": self.clock.done,
             "trace": self.stage.digest.hexdigest(),
@@ -130,8 +134,41 @@
     def deafen(self, for_s: float) -> None:
         self.listing.deaf_until = self.clock.now + us(for_s)
 
+    def of_zone(self, zone: int) -> list[Node]:
+        return [node for node in self.nodes if node.zone == zone]
+
+    def part(self, nodes: Sequence[Node], oneway: bool) -> None:
+        if self.company is not None:
+            self.company.part(nodes, oneway)
+
+    def join(self, nodes: Sequence[Node], oneway: bool) -> None:
+        if self.company is not None:
+            self.company.join(nodes, oneway)
+
+    def treat(self, manner: Manner) -> None:
+        if self.company is not None:
+            self.company.treat(manner)
+
+    def stall(self, node: Node) -> None:
+        """Its process is stopped: what comes to it waits."""
+        node.stall()
+        for hand in node.hands.values():
+            if not hand.link.open:
+                self.crowd.doubt(hand, node)
+        if self.company is not None:
+            self.company.stall(node.number)
+
+    def wake(self, node: Node) -> None:
+        if not node.alive or self.nodes[node.number] is not node:
+            return  # killed meanwhile
+        if self.company is not None:
+            self.company.wake(node.number)
+        node.wake()
+
     def kill(self, node: Node) -> None:
         """A node dies; it comes back with the list that it had."""
+        if self.company is not None:
+            self.company.kill(node.number)
         stage, crowd = self.stage, self.crowd
         nodes, known = self.day.nodes, list(node.list.values())
         self.checker.forgot(node.number)
@@ -165,6 +202,8 @@
     def restart(self, dead: Node, known: list[Listed]) -> None:
         node = self.nodes[dead.number] = self.node(dead.number)
         self.stage.note("restart", node.number)
+        if self.company is not None:
+            self.company.restart(node.number)
         node.listed(known, whole=True, asked=False)
         self.listing.told_at[node.number] = 0
         self.listing.tell_whole(node)
--- a/larchlatch/emulator/yard.py
+++ b/larchlatch/emulator/yard.py
@@ -55,6 +55,8 @@
                 self.late.discard((number, host.number))
 
     def delay(self, node: Node, hand: Hand, took: int) -> None:
+        if node.waits(self.delay, node, hand, took):
+            return
         if node.alive and hand.link.number in node.hands and hand.link.open:
             node.policy.delay_note(self.stage.clock.now, hand.link, took)
             node.look()
@@ -77,6 +79,8 @@
             node.ended(hand.attempt, Outcome.CUT)
 
     def quiet(self, node: Node, host: int) -> None:
+        if node.waits(self.quiet, node, host):
+            return
         if node.alive and not self.stage.reach(node, self.stage.hosts[host]):
             node.policy.quiet(self.stage.clock.now, host)
             node.look()
--- a/larchlatch/load/play.py
+++ b/larchlatch/load/play.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 import tempfile
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from pathlib import Path
 from random import Random
@@ -21,8 +21,10 @@
 from larchlatch.days.day import Day
 from larchlatch.days.faults import AnyFault, strike
 from larchlatch.days.hosts import Condition, hosts_of
+from larchlatch.days.paths import Manner
 from larchlatch.days.tally import Tally, histogram
 from larchlatch.links import Repeat, State
+from larchlatch.load.company import Company
 from larchlatch.load.sites import SOCKETS_US, Directory, Site, Watch
 from larchlatch.node.clock import now_us
 
@@ -88,7 +90,12 @@
         self.process: asyncio.subprocess.Process | None = None
         self.front = True
         self.starts = 0
-        self.kills = 0
+        self.stopped = False  # its process: by a fault of the day
+        self.breaks = 0  # how often its process was killed or stopped: a link there may go without an answer
+
+    def answers_since(self, breaks: int) -> bool:
+        """Whether it has run all the time since it had been killed or stopped so often: it owes an answer."""
+        return self.breaks == breaks and not self.stopped
 
 
 class Session:
@@ -112,6 +119,7 @@
         self.idents = 0
         self.writers: dict[int, asyncio.StreamWriter] = {}  # of standing links, by client
         self.tasks: set[asyncio.Task[None]] = set()
+        self.company: Company | None = None
 
     # The whole of it.
 
@@ -121,17 +129,22 @@
             try:
                 await self.start()
                 await self.run()
+                if self.company is not None:
+                    self.company.read()
             finally:
                 for task in self.tasks:
                     task.cancel()
                 await asyncio.gather(*self.tasks, return_exceptions=True)
                 for place in self.places:
                     await self.end(place)
+                if self.company is not None:
+                    await self.company.close()
         late = self.started_late.get_value_at_percentile(99)
         self.tally.counts["tries"] = sum(site.tries for site in self.sites)
         self.tally.counts["probes"] = sum(site.probes for site in self.sites)
         return {
             **self.tally.row(),
+            **(self.company.row() if self.company is not None else {}),
             "broken": dict(self.watch.broken),
             "late_p99_ms": late / 1000,
             "lag_p99_ms": self.lag.get_value_at_percentile(99) / 1000,
@@ -152,6 +165,11 @@
             place = Place(number, self.address, await free_port(self.address))
             self.places.append(place)
         known = self.directory.known()
+        if self.day.cluster.on:
+            ports = [await free_udp_port(self.address) for _ in self.places]
+            self.company = Company(self.day, self.address, self.folder, ports)
+            await self.company.open()
+            self.spawn(self.company.follow())
         async with asyncio.timeout(START_S):
             await asyncio.gather(*(self.launch(place, known) for place in self.places))
 
@@ -174,6 +192,8 @@
         }
         path = self.folder / f"n{place.number}.json"
         path.write_bytes(orjson.dumps(raw))
+        if self.company is not None:
+            self.company.starts(place.number)
         place.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -181,6 +201,7 @@
             "serve",
             "--config",
             str(path),
+            *(self.company.arguments(place.number) if self.company is not None else ()),
             stdout=(self.folder / f"n{place.number}.log").open("ab"),
             stderr=asyncio.subprocess.STDOUT,
             env={**os.environ, "EDGE_CONTROL": "", "TMPDIR": str(self.folder)},
@@ -194,6 +215,8 @@
                 answer = await reader.readline()
                 writer.close()
                 if answer == b"PONG\r\n":
+                    if self.company is not None:
+                        self.company.runs(place.number, True)
                     return
             await asyncio.sleep(0.02)
 
@@ -280,7 +303,7 @@
         except OSError:
             self.tally.counts["no node there"] += 1
             return "refused", 0
-        kills = place.kills
+        breaks = place.breaks
         try:
             self.idents += 1
             self.tally.counts["links"] += 1
@@ -301,14 +324,14 @@
             if word:
                 self.watch.broken["lost"] += await self.more(reader)
             else:
-                self.watch.broken["lost"] += place.kills == kills
+                self.watch.broken["lost"] += place.answers_since(breaks)
             if word == b"BUSY":
                 self.tally.counts["shed"] += 1
                 rest = answer.split()[1:]
                 return "refused", int(rest[0]) * 1000 if rest else 0
             self.tally.counts["given_up" if word else "ended unanswered"] += 1
         except OSError:
-            self.watch.broken["lost"] += place.kills == kills
+            self.watch.broken["lost"] += place.answers_since(breaks)
             self.tally.counts["ended unanswered"] += 1
         finally:
             writer.close()
@@ -334,7 +357,7 @@
         self, client: Client, place: Place, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Say something at every beat until the client has had enough, or the link ends."""
-        began, kills = self.now_s(), place.kills
+        began, breaks = self.now_s(), place.breaks
         end = self.began + min(self.day.span_s, (client.due + client.life_us) / SECOND)
         self.writers[client.number] = writer
         beat = asyncio.ensure_future(self.beats(writer))
@@ -352,7 +375,7 @@
             left = self.writers.pop(client.number, None) is None
             self.tally.served_us += (min(self.now_s(), end) - began) * SECOND
         if how == "dropped":
-            how = "lost by the client" if left else "lost with a node" if place.kills > kills else how
+            how = "lost by the client" if left else "lost with a node" if place.breaks > breaks else how
         self.tally.counts[how] += 1
 
     async def beats(self, writer: asyncio.StreamWriter) -> None:
@@ -426,12 +449,46 @@
     def deafen(self, for_s: float) -> None:
         self.directory.deaf_until = now_us() / SECOND + for_s
 
+    def of_zone(self, zone: int) -> list[Place]:
+        return [place for place in self.places if place.number % self.day.zones == zone]
+
+    def part(self, nodes: Sequence[Place], oneway: bool) -> None:
+        if self.company is not None:
+            self.spawn(self.company.part([place.number for place in nodes], oneway))
+
+    def join(self, nodes: Sequence[Place], oneway: bool) -> None:
+        if self.company is not None:
+            self.spawn(self.company.join([place.number for place in nodes], oneway))
+
+    def treat(self, manner: Manner) -> None:
+        if self.company is not None:
+            self.spawn(self.company.treat(manner))
+
+    def stall(self, place: Place) -> None:
+        self.send(place, signal.SIGSTOP)
+
+    def wake(self, place: Place) -> None:
+        self.send(place, signal.SIGCONT)
+
+    def send(self, place: Place, what: signal.Signals) -> None:
+        """Stop a node's process, or let it go on."""
+        if place.process is None or place.process.returncode is not None or not place.front:
+            return  # killed meanwhile
+        place.process.send_signal(what)
+        place.breaks += 1
+        place.stopped = what is signal.SIGSTOP
+        if self.company is not None:
+            self.company.runs(place.number, what is signal.SIGCONT)
+
     def kill(self, place: Place) -> None:
         self.spawn(self.killed(place))
 
     async def killed(self, place: Place) -> None:
         known = self.directory.known()
-        place.kills += 1
+        place.breaks += 1
+        place.stopped = False
+        if self.company is not None:
+            self.company.runs(place.number, False)
         await self.end(place)
         nodes = self.day.nodes
         await asyncio.sleep(min(nodes.noticed_s, nodes.back_s))
@@ -441,6 +498,15 @@
         place.front = True
 
 
+async def free_udp_port(address: str) -> int:
+    """A port for datagrams that nobody has now."""
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol, local_addr=(address, 0))
+    port: int = transport.get_extra_info("sockname")[1]
+    transport.close()
+    return port
+
+
 async def free_port(address: str) -> int:
     """A port that nobody listens on now."""
     server = await asyncio.start_server(lambda reader, writer: None, address, 0)
--- /dev/null
+++ b/larchlatch/load/switchboard.py
@@ -0,0 +1,99 @@
+"""A process between the nodes: a relay for each ordered pair, which a day's faults cut, delay and make lossy.
+
+Started by the load tool. The first line on its standard input says between whom, as JSON; it answers with the
+relays' ports, a row for each sender. Each further line is an order. At its input's end it says what went by.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import Any, cast
+
+import orjson
+
+from larchlatch.days.chance import Chance
+from larchlatch.days.paths import Manner, Part, Paths
+
+
+class Relay(asyncio.DatagramProtocol):
+    """What one node sends to another."""
+
+    def __init__(self, board: Switchboard, one: int, other: int) -> None:
+        self.board = board
+        self.one = one
+        self.other = other
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        self.board.came += 1
+        self.board.bytes += len(data)
+        delays = self.board.paths.fate(self.one, self.other)
+        self.board.dropped += not delays
+        for delay in delays:
+            if delay:
+                asyncio.get_running_loop().call_later(delay / 1e6, self.pass_on, data)
+            else:
+                self.pass_on(data)
+
+    def pass_on(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.board.passed += 1
+            self.transport.sendto(data, (self.board.address, self.board.ports[self.other]))
+
+    def error_received(self, exc: Exception) -> None:
+        """The other node's process is gone: that is no fault of this one."""
+
+
+class Switchboard:
+    def __init__(self, address: str, seed: int, ports: list[int]) -> None:
+        self.address = address
+        self.ports = ports
+        self.paths = Paths(Chance(seed))
+        self.came = self.passed = self.dropped = self.bytes = 0
+
+    async def open(self) -> list[list[int]]:
+        """The relays' ports: row by sender, column by receiver; 0 from a node to itself."""
+        return [
+            [0 if one == other else await self.relay(one, other) for other in range(len(self.ports))]
+            for one in range(len(self.ports))
+        ]
+
+    async def relay(self, one: int, other: int) -> int:
+        transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: Relay(self, one, other), local_addr=(self.address, 0)
+        )
+        port: int = transport.get_extra_info("sockname")[1]
+        return port
+
+    def order(self, line: dict[str, Any]) -> None:
+        match line:
+            case {"part": nodes, "oneway": oneway}:
+                self.paths.parts.append(Part(frozenset(nodes), oneway))
+            case {"join": nodes, "oneway": oneway}:
+                self.paths.parts.remove(Part(frozenset(nodes), oneway))
+            case {"manner": manner}:
+                self.paths.manner = Manner(**manner)
+
+    def told(self) -> dict[str, int]:
+        return {"came": self.came, "passed": self.passed, "dropped": self.dropped, "bytes": self.bytes}
+
+
+async def serve() -> None:
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    first = orjson.loads(await reader.readline())
+    board = Switchboard(first["address"], first["seed"], first["ports"])
+    print(orjson.dumps(await board.open()).decode(), flush=True)
+    while line := await reader.readline():
+        board.order(orjson.loads(line))
+        print("done", flush=True)
+    print(orjson.dumps(board.told()).decode(), flush=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(serve())
--- a/larchlatch/node/lifecycle/run.py
+++ b/larchlatch/node/lifecycle/run.py
@@ -15,6 +15,7 @@
 from larchlatch.node.clock import now_us
 from larchlatch.node.control import BACKLOG as DOOR_BACKLOG
 from larchlatch.node.control import Control
+from larchlatch.node.lifecycle.company import Join
 from larchlatch.node.lifecycle.handover import Giving, Meeting, Taking
 from larchlatch.node.lifecycle.lag import Lag
 from larchlatch.node.lifecycle.phase import Phase
@@ -88,7 +89,9 @@
             await anyio.lowlevel.checkpoint()  # a crowd that waits must not keep those from work who are in
 
 
-async def node(plan: Plan, path: Path, *, task_status: TaskStatus[int] = TASK_STATUS_IGNORED) -> None:
+async def node(
+    plan: Plan, path: Path, join: Join | None = None, *, task_status: TaskStatus[int] = TASK_STATUS_IGNORED
+) -> None:
     """Serve by this plan, read from that file, until told to stop; says on which port once it can."""
     counters = Counters()
     room = Room(plan.sockets)
@@ -109,6 +112,9 @@
                 log.info("operators' door", listen=operators.address)
                 tasks.start_soon(Control(phase, leaving.drain, counters).run, operators)
             tasks.start_soon(lag.run)
+            company = join(counters, random.Random(chance.getrandbits(64))) if join is not None else None
+            if company is not None:
+                tasks.start_soon(company.run)
             meeting = Meeting.of(plan)
             taking = None if meeting is None else await Taking.reached(plan, meeting, counters)
             # The list held from before comes first: old as it may be, links can be placed by it at once.
@@ -153,11 +159,15 @@
             async for told in signals:
                 if told == signal.SIGHUP:
                     plan = reread(plan, path, listing, counters)
+                    if company is not None:
+                        company.reread()
                     continue
                 log.info("counters", **counters.told(), lag_ms=lag.told_ms())
                 if told == signal.SIGUSR1:
                     for row in module.told():
                         log.info("host", **row)
+                    for row in company.told() if company is not None else ():
+                        log.info("member", **row)
                 if told != signal.SIGUSR1 and phase.stopped_at is None:
                     phase.stop(anyio.current_time())
                     tasks.start_soon(leaving.stop)
--- /dev/null
+++ b/tests/test_between.py
@@ -0,0 +1,91 @@
+"""Eight real processes that know of each other, and faults between them; judged from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+
+from larchlatch.days.day import checked
+from larchlatch.load.bounds import playable
+from larchlatch.load.company import Company
+from larchlatch.load.play import Session
+
+WITHIN_S = 8.0  # for all to agree: four times what it takes, as the machine may be busy
+
+FAULTS: dict[str, list[dict[str, Any]]] = {
+    "cut": [
+        {"kind": "part", "at_s": 3.0, "zone": 1, "for_s": 6.0},
+        {"kind": "part", "at_s": 15.0, "nodes": 2, "oneway": True, "for_s": 6.0},
+    ],
+    "stopped": [
+        {"kind": "stall", "at_s": 3.0, "nodes": 2, "for_s": 6.0},
+        {"kind": "kill", "at_s": 13.0, "nodes": 2},
+    ],
+}
+
+
+class Meddled(Session):
+    """Rubbish comes at one node's port all the time, and another's own datagrams of long before."""
+
+    sent = 0
+
+    async def run(self) -> None:
+        self.spawn(self.meddle())
+        await super().run()
+
+    async def meddle(self) -> None:
+        assert self.company is not None
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        with sock:
+            while True:
+                for number in range(50):
+                    noise = self.chance.stream(f"noise {self.sent}").randbytes(8 + number * 11)
+                    sock.sendto(noise, (self.address, self.company.ports[0]))
+                    self.sent += 1
+                await asyncio.sleep(0.01)
+
+
+def day_with(faults: list[dict[str, Any]], span_s: float) -> Any:
+    return playable(
+        checked(
+            {
+                "span_s": span_s,
+                "cluster": {"on": True},
+                "nodes": {"count": 8, "back_s": 3.0, "noticed_s": 0.3},
+                "hosts": [{"count": 4, "size": 2.0}],
+                "links": {"rate": 8.0, "life_s": 3.0, "beat_s": 0.5},
+                "faults": faults,
+            },
+            "day",
+        )
+    )
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_nodes_agree_on_who_is_there_through_faults_between_them(name: str) -> None:
+    session = Session(day_with(FAULTS[name], 25.0))
+    row = asyncio.run(session.play())
+    judge = session.company.agreement if session.company is not None else None
+    assert judge is not None and not judge.apart, "at the end all that can hear each other know it"
+    assert len(judge.took_us) >= 4 and max(judge.took_us) < WITHIN_S * 1e6, judge.took_us
+    assert row["cluster_bytes_s"] < 20_000
+    assert not any(row["broken"].values()), "the four rules, with all of this on"
+
+
+def test_rubbish_at_a_nodes_port_changes_nothing() -> None:
+    session = Meddled(day_with([], 6.0))
+    row = asyncio.run(session.play())
+    assert session.sent > 2000 and session.company is not None
+    assert not session.company.agreement.apart and row["members_wrong"] == 0
+    assert row["delivered"] > 20 and not any(row["broken"].values())
+
+
+def test_the_judge_sees_nodes_that_hear_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The check can fail: nodes that were not told to talk never agree."""
+    monkeypatch.setattr(Company, "arguments", lambda company, number: [])
+    session = Session(day_with([], 3.0))
+    asyncio.run(session.play())
+    assert session.company is not None and session.company.agreement.row()["agreed_s"] is None
