A platform that refuses Unix sockets costs a node the upgrade alone, not its start

Change: no socket of that family is the same as nobody to meet, logged once. The test fails without it (OSError).

--- a/larchlatch/node/lifecycle/handover.py
+++ b/larchlatch/node/lifecycle/handover.py
@@ -65,7 +65,9 @@
 
     def listen(self) -> socket.socket | None:
         """Be found here by the next process."""
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        sock = unix_socket()
+        if sock is None:
+            return None
         try:
             with suppress(FileNotFoundError):
                 (self.folder / self.name).unlink()  # of a process that is gone, or that this one follows
@@ -80,7 +82,9 @@
 
     def connect(self) -> socket.socket | None:
         """The process that serves now; None where there is none."""
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        sock = unix_socket()
+        if sock is None:
+            return None
         try:
             self.used(sock.connect)
             sock.setblocking(False)
@@ -90,6 +94,15 @@
         return sock
 
 
+def unix_socket() -> socket.socket | None:
+    """None where the platform has none: a node must start and serve there all the same."""
+    try:
+        return socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    except OSError as error:
+        log.warning("no upgrade without a break from here", why=str(error))
+        return None
+
+
 def same_user(sock: socket.socket) -> bool:
     _, uid, _ = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))
     return bool(uid == os.getuid())
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -475,3 +475,15 @@
     with pytest.raises((KeyError, TypeError, ValueError, AttributeError)):
         new.recall({**old.learned(), **change}, 0)
     assert new.learned() == before
+
+
+def test_a_platform_without_unix_sockets_costs_the_upgrade_alone(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Danger: where the system refuses the family, a node with a door and a TMPDIR would not start at all.
+    def refused(family: int, kind: int) -> socket.socket:
+        raise OSError(97, "Address family not supported by protocol")
+
+    meeting = Meeting(tmp_path, plan_from(configuration([], 1)))
+    monkeypatch.setattr(socket, "socket", refused)
+    assert meeting.connect() is None and meeting.listen() is None
