--- a/larchlatch/emulator/commands.py
+++ b/larchlatch/emulator/commands.py
@@ -114,6 +114,10 @@
     described = playable(described_by(day, changes, seed))
     row = played(described, address_of(address))
     click.echo(told({"day": described.name, "policy": "sockets", "seed": described.seed, **row}))
+    if "agreed_s" in row:
+        took = "they did not agree" if row["agreed_s"] is None else f"{row['agreed_s']:.1f} s at the longest"
+        click.echo(f"nodes, after each fault and its end, until all agreed on who is there: {took}", err=True)
+    click.echo("rules kept" if not any(row["broken"].values()) else "a rule was broken", err=True)
     if row["void"]:
         click.echo("void: this tool itself was too late for its figures to be trusted", err=True)
         sys.exit(VOID)
