--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -280,8 +280,8 @@
             return open_to[0] if open_to else None
         if link.tries and len(open_to) > 1:
             open_to = [host for host in open_to if host.number != link.host]
-        # Many nodes read one figure and would all act on it at once: each draws where a crowd begins. Where all
-        # that are told of are near their edge a link that strays only makes one more pay for its group.
+        # Many nodes read one figure and would all act on it at once: each draws where a crowd begins. Where
+        # those told of have no room, a link that strays only makes one more host pay for its group.
         mean, told = self.mean_load(), [h.x0 for h in self.told(now)]
         bar = self.uniform(SPARE, FULL) if sum(told) < EDGE * len(told) else FULL
         fit = [host for host in open_to if self.fit(now, host)]
