--- a/larchlatch/cluster/file.py
+++ b/larchlatch/cluster/file.py
@@ -10,6 +10,7 @@
 from msgspec import Meta
 
 from larchlatch.cluster.wire.keys import PUBLIC_BYTES, Key, Seal, key_of, seal_of
+from larchlatch.node.wire.catalog import address_of
 from larchlatch.terms import BadInput
 from larchlatch.tomlfile import Strict, converted, read_toml
 
@@ -48,13 +49,6 @@
     beat_us: int
 
 
-def address_of(text: str, where: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
-        raise BadInput(f"{where}: not an address with a port ({text[:60]!r})")
-    return host, int(port)
-
-
 def fleet_from(raw: Any, top: str) -> Fleet:
     read = converted(raw, Raw, top)
     peers: dict[str, Peer] = {}
@@ -66,6 +60,8 @@
         if len(entry.name.encode()) > NAME_BYTES:
             raise BadInput(f"{where}.name: longer than {NAME_BYTES} bytes")
         address = address_of(entry.address, f"{where}.address")
+        if not address[1]:
+            raise BadInput(f"{where}.address: the others have to know its port ({entry.address})")
         if address in taken:
             raise BadInput(f"{where}.address: {taken[address]} has it as well ({entry.address})")
         key = key_of(entry.key)
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -278,6 +278,7 @@
         ({"nodez": 1}, "nodez"),
         ({"beat_ms": 1}, "beat_ms"),
         ({"nodes": [{"name": "a", "address": "x", "key": KEYS["a"].hex()}]}, "nodes[0].address"),
+        ({"nodes": [{**ENTRY, "address": "h:0"}]}, "nodes[0].address"),
         ({"nodes": [{"name": "a", "address": "h:1", "key": "zz"}]}, "nodes[0].key"),
         ({"nodes": [ENTRY, {**OTHER, "name": "a"}]}, "nodes[1].name"),
         (
