Nothing begins for a client that has left; the end of a node leaves no request unanswered

From reading the code, each shown by a test that fails without it: an end behind other bytes was never seen; a mailbox that is full kept anybody from watching the client; list, memory of repeats and client were not looked at again after dialling; refusals closed over unread bytes; resting connections and those not yet accepted were cut off at the exit; mistyped settings raised beyond one line, and would have ended a node at SIGHUP; attempts were used up in the moment that a silent client takes to make room.

--- a/larchlatch/brain.py
+++ b/larchlatch/brain.py
@@ -371,7 +371,7 @@
         if link.ran_at < 0 or tariff.repeat is Repeat.RERUNNABLE:
             return True
         # An earlier try may have run: a second run elsewhere, or after the group forgets, would count twice.
-        if tariff.repeat is Repeat.EXCLUSIVE or now >= link.ran_at + tariff.memory_us:
+        if tariff.repeat is Repeat.EXCLUSIVE or now >= link.repeat_until:
             return False
         first = self.hosts[link.ran_host]
         alike = {Group.ZONE: host.zone == first.zone, Group.CELL: host.cell == first.cell}
@@ -381,8 +381,7 @@
         """The one final answer of a link that will not be delivered."""
         tariff = self.terms.tariffs[link.tariff]
         # Shed says that a retry is harmless: never of a link whose second run would count twice.
-        remembered = tariff.group is Group.ALL and now < link.ran_at + tariff.memory_us
-        discarded = tariff.repeat is Repeat.TICKETED and remembered
+        discarded = tariff.repeat is Repeat.TICKETED and tariff.group is Group.ALL and now < link.repeat_until
         if not (link.ran_at < 0 or tariff.repeat is Repeat.RERUNNABLE or discarded):
             return Answer(GIVEN_UP)
         advice = min(self.terms.longest_return_us, int(self.uniform(back, 2 * back)))
@@ -545,6 +544,7 @@
             self.pace.judge(now, what is Outcome.ENDED, link.sent_at)
         if what not in NEVER_RAN and link.ran_at < 0:
             link.ran_at, link.ran_host = link.sent_at, host.number
+            link.repeat_until = self.terms.tariffs[link.tariff].repeat_until(link.sent_at)
         link.out = link.open = False
         return Answer(DONE) if done else self.place(now, link)
 
--- a/larchlatch/links.py
+++ b/larchlatch/links.py
@@ -6,6 +6,8 @@
 from enum import Enum, IntEnum
 from typing import NamedTuple
 
+NO_END = 2**62  # microseconds: later than all times
+
 
 class Repeat(Enum):
     """What a second run of a link's set-up would do."""
@@ -64,6 +66,10 @@
     group: Group
     memory_us: int  # how long a ticketed link's group remembers it
 
+    def repeat_until(self, ran_at: int) -> int:
+        """Before when a further attempt has to be sent, if the first that may have run was sent then."""
+        return NO_END if self.repeat is Repeat.RERUNNABLE else ran_at + self.memory_us
+
 
 @dataclass(frozen=True, slots=True)
 class Terms:
@@ -104,11 +110,12 @@
     out: bool = False  # a setup try is out
     open: bool = False  # the link stands on its host
     sought: bool = False  # a pacer has been asked for a place
-    asked_at: int = -(2**62)  # when it was last counted among those asked for
+    asked_at: int = -NO_END  # when it was last counted among those asked for
     sent_at: int = 0
     stood_at: int = 0  # when it came to stand
     ran_at: int = -1  # when the first try that may have run was sent; -1: none may have
     ran_host: int = -1
+    repeat_until: int = NO_END  # a further attempt has to be sent before: its effect is remembered no longer
 
 
 class Listed(NamedTuple):
--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -13,7 +13,7 @@
 from xxhash import xxh3_64_intdigest
 
 from larchlatch.links import Link, Outcome
-from larchlatch.node.clock import now_us
+from larchlatch.node.clock import now_us, seconds_until
 from larchlatch.node.lifecycle.phase import Phase
 from larchlatch.node.memory.counters import Counters
 from larchlatch.node.memory.hand import Delivered, GivenUp, Hand, Shed
@@ -24,7 +24,7 @@
 from larchlatch.node.wire import lines as say
 from larchlatch.node.wire import passing
 from larchlatch.node.wire.listen import stream_of
-from larchlatch.node.wire.stream import Ending, Lines, answer_at_once, overheard, waited_us
+from larchlatch.node.wire.stream import Ending, Lines, answer_at_once, overheard, see_off, waited_us
 from larchlatch.node.words import Arrived, Left, Stood, Tried
 
 FIRST_LINE_S = 2.5  # a client is owed a word 3 s after it has connected, whatever it sends or does not
@@ -33,6 +33,13 @@
 BACK_US = 200_000  # a client that a drained node sheds comes back through a front that knows by then
 LAG_US = 150_000  # the answer leaves so much before the cut-off: a node in a crowd took 0.1 s to pass one on
 LAG_SHARE = 10  # but no more than a tenth of a short cut-off
+MOST_EARLY = 65536  # bytes that are taken from a client before it has a host: nobody reads them until then
+CROSSING_S = (
+    0.1  # for the line of a client that connects while this node ends: it is under way, or never comes
+)
+LINGER_S = 0.5  # for a client's end after its answer: what it still sends would reset the connection
+SHORT_LINGER_S = 0.02  # the same where links want its descriptor: what has come by then is read
+ENDING_S = 0.25  # for the end of a resting connection then: the process is granted a moment only
 
 # Hands a standing link over to another process of this node; False where that went wrong, and the link is
 # still here.
@@ -41,6 +48,11 @@
 log = structlog.get_logger()
 
 
+def lag_us(wait_us: int) -> int:
+    """What is kept back of a client's time for the way of its answer."""
+    return min(LAG_US, wait_us // LAG_SHARE)
+
+
 class Heard(NamedTuple):
     """What a client had said before anything was made of its connection."""
 
@@ -75,6 +87,8 @@
         self.idents: dict[str, Hand] = {}  # the links in hand or standing here by their clients' ids
         self.standing: dict[int, Hand] = {}
         self.in_hand = 0  # links taken that are not over
+        self.connections = 0  # that are open here, whatever they wait for
+        self.resting: dict[anyio.CancelScope, None] = {}  # ends the waiting of those without a line
         self.unheard = 0  # connections that have sent no whole line yet
         self.successor: Successor | None = None  # another process of this node, which goes on with links
         self.elsewhere: set[str] = set()  # ids of links that the process before this one has in hand
@@ -103,9 +117,19 @@
         answer_at_once(sock, say.shed_line(BACK_US))
         return True
 
+    async def seen_off(self, sock: socket.socket) -> None:
+        """The rest of a connection that was turned away."""
+        self.connections += 1
+        try:
+            await see_off(sock, self.linger_s)
+        finally:
+            self.connections -= 1
+            self.room.give()
+
     async def serve(self, sock: socket.socket, heard: Heard | None = None) -> None:
         """One connection, from its first line to its end; nothing that goes wrong leaves here."""
         client: Lines | None = None
+        self.connections += 1
         try:
             client = Lines(await stream_of(sock))
             await self.served(client, heard)
@@ -120,6 +144,7 @@
                 await client.close()
             else:
                 sock.close()
+            self.connections -= 1
             self.room.give()
 
     async def served(self, client: Lines, heard: Heard | None) -> None:
@@ -132,7 +157,12 @@
         # In a crowd a line may lie unread for a tenth of a second, and the client's time runs from when it
         # came: counted from the reading, the answer would find that the client has given up.
         now = now_us() - client.waited_us()
-        if line is None:
+        if line is None and self.phase.ending:
+            # A request that crosses this word has its answer with it: one that only finds the end is lost.
+            self.counters.add("resting connection ended")
+            await client.send(say.shed_line(BACK_US))
+            await client.finish(Ending.END, ENDING_S)
+        elif line is None:
             await self.refuse(client, "no line in time")
         elif line is Ending.TOO_LONG:
             await self.refuse(client, "line too long")
@@ -164,7 +194,8 @@
     async def first_line(self, client: Lines) -> bytes | Ending | None:
         """The line that says what the client wants; None where it says nothing in time."""
         began = anyio.current_time()
-        with anyio.CancelScope(deadline=began + FIRST_LINE_S) as scope:
+        with anyio.CancelScope(deadline=began + (CROSSING_S if self.phase.ending else FIRST_LINE_S)) as scope:
+            self.resting[scope] = None
             quiet = Quiet(scope.cancel, began)
 
             def begun() -> None:
@@ -188,6 +219,7 @@
                 return line
             finally:
                 client.begun = None
+                del self.resting[scope]
                 self.unheard -= not pinged
                 if not self.room.remove(quiet):
                     self.counters.add("made room (half a line)" if quiet.pieces else "made room (silent)")
@@ -195,16 +227,29 @@
 
     async def refuse(self, client: Lines, why: str) -> None:
         """An error at once, and the end."""
-        # Not waited for: what a bad client goes on sending would hold a descriptor, and cost time to read.
         self.counters.add(f"refused: {why}")
         log.debug("refused", why=why)
         await client.send(say.FAILED)
-        await client.close()
+        await client.finish(Ending.END, self.linger_s)
+
+    @property
+    def linger_s(self) -> float:
+        """How long a connection on which all has been said may wait for its client's end."""
+        return SHORT_LINGER_S if self.room.short else LINGER_S
+
+    def dismiss(self) -> None:
+        """This node ends: whoever rests here is told so, and who still comes is turned away."""
+        if not self.phase.ending:
+            self.phase.ending = True
+            for scope in list(self.resting):
+                scope.cancel()
 
     def cut_off(self, opening: say.Opening, now: int) -> int:
         """When a link that came at this time is to have its answer."""
         wait_us = min(opening.wait_ms * 1000, self.longest_wait_us)
-        return now + wait_us - min(LAG_US, wait_us // LAG_SHARE)
+        cut_off = now + wait_us - lag_us(wait_us)
+        ends_in = self.phase.ends_in(anyio.current_time())
+        return cut_off if ends_in is None else min(cut_off, now_us() + int(ends_in * 1e6))
 
     def hand(self, now: int, opening: say.Opening) -> Hand:
         link = Link(
@@ -229,27 +274,45 @@
             wait_ms=hand.opening.wait_ms,
             mid=hand.opening.mid_flow,
         )
-        at = hand.opening.standing_at
-        if at is None and self.phase.turns_away(anyio.current_time()):
-            hand.settle(Shed(BACK_US))
-        elif at is None:
-            await self.module.post(Arrived(hand))
-        else:
-            number = self.module.numbers.get(at)
-            if number is None or not self.module.peers[number].order(Try(hand, hand.link.cut_off)):
-                hand.settle(GivenUp())
+        hand.hung_up = client.hung_up
         async with self.held(hand):
-            early = await self.answer(client, hand)
+            await self.settled(client, hand)
             verdict = hand.verdict
             if isinstance(verdict, Delivered):
                 await self.delivered(client, hand, verdict)
-            elif early is None:
+            elif verdict is None:
+                self.counters.add("link left early")
+            else:
                 shed = isinstance(verdict, Shed)
                 self.counters.add("link shed" if shed else "link given up")
                 await client.send(say.shed_line(verdict.back_us) if isinstance(verdict, Shed) else say.FAILED)
-                await client.finish(Ending.END)
-            else:
-                self.counters.add("link left early")
+                await client.finish(Ending.END, self.linger_s)
+
+    async def settled(self, client: Lines, hand: Hand) -> None:
+        """Until a link has its final answer, or its client has left."""
+        async with anyio.create_task_group() as tasks:
+            # From the beginning: while the module's mailbox is full, its client may leave.
+            tasks.start_soon(self.heed, client, hand)
+            by = hand.link.cut_off + lag_us(min(hand.opening.wait_ms * 1000, self.longest_wait_us)) // 2
+            with anyio.move_on_after(seconds_until(by)) as time:
+                await self.begin(hand)
+                await hand.settled.wait()
+            if time.cancelled_caught and not hand.settled.is_set():
+                # The decisions have not come to it in time. What no host has heard of can't have run.
+                self.counters.add("link answered without a decision")
+                hand.settle(GivenUp() if hand.link.tries else Shed(BACK_US))
+            tasks.cancel_scope.cancel()
+
+    async def begin(self, hand: Hand) -> None:
+        at = hand.opening.standing_at
+        if at is None and (self.phase.turns_away(anyio.current_time()) or self.phase.ending):
+            hand.settle(Shed(BACK_US))
+        elif at is None:
+            await self.module.submit(Arrived(hand))
+        else:
+            number = self.module.numbers.get(at)
+            if number is None or not self.module.peers[number].order(Try(hand, hand.link.cut_off)):
+                hand.settle(GivenUp())
 
     @asynccontextmanager
     async def held(self, hand: Hand) -> AsyncIterator[None]:
@@ -313,28 +376,23 @@
         if self.idents.get(hand.opening.ident) is hand:
             del self.idents[hand.opening.ident]
 
-    async def answer(self, client: Lines, hand: Hand) -> Ending | None:
-        """Wait for the final answer; how the client ended if it did not wait itself."""
-        early: Ending | None = None
-        async with anyio.create_task_group() as tasks:
-
-            async def heed() -> None:
-                nonlocal early
+    async def heed(self, client: Lines, hand: Hand) -> None:
+        """What a client does while it waits for its answer."""
+        early: list[bytes] = []
+        try:
+            while sum(map(len, early)) < MOST_EARLY:
                 some = await client.some()
-                if isinstance(some, Ending):
-                    early = some
-                    tasks.cancel_scope.cancel()
-                elif hand.opening.goes_on:
-                    client.ready = some  # sent before it came here: it goes to the host once there is one
-                else:
+                if some is Ending.END or some is Ending.RESET:
+                    hand.leave()
+                    return
+                if isinstance(some, Ending) or not hand.opening.goes_on:
                     # A client waits for its answer: what this one says besides no host could read.
                     self.counters.add("refused: more than one line")
                     hand.settle(GivenUp())
-
-            tasks.start_soon(heed)
-            await hand.settled.wait()
-            tasks.cancel_scope.cancel()
-        return None if hand.verdict is not None else early
+                    return
+                early += some  # sent before it came here: it goes to the host once there is one
+        finally:
+            client.ready = early + client.ready
 
     async def delivered(self, client: Lines, hand: Hand, verdict: Delivered) -> None:
         """Pass on the host's line, then all others."""
--- a/larchlatch/node/lifecycle/phase.py
+++ b/larchlatch/node/lifecycle/phase.py
@@ -17,6 +17,7 @@
         self.ready = False
         self.drained_at: float | None = None  # when the drain began that is on
         self.stopped_at: float | None = None
+        self.ending = False  # nothing more is taken: whoever comes is turned away at once
         self.ceded = False  # another process of this node takes what is new
         self.looked_at = 0.0  # when links were last asked to leave
         self.share = 0.0  # the part of a link that is due by now
@@ -57,6 +58,10 @@
         if not self.leaving:
             self.looked_at, self.share = now, 0.0
 
+    def ends_in(self, now: float) -> float | None:
+        """How long until all that is in hand is to be over; None where no end is in sight."""
+        return None if self.stopped_at is None else self.stopped_at + self.stop_s - now
+
     def turns_away(self, now: float) -> bool:
         """Whether a new link is shed: it would have to leave at once."""
         return self.drained_at is not None and now >= self.drained_at + STILL_S
--- a/larchlatch/node/lifecycle/plan.py
+++ b/larchlatch/node/lifecycle/plan.py
@@ -12,7 +12,7 @@
 from larchlatch.links import Terms
 from larchlatch.node.peer import Reach
 from larchlatch.node.wire.catalog import Members, address_of, members_of
-from larchlatch.terms import NUMBER, BadInput, need, terms_of
+from larchlatch.terms import BadInput, maybe, need, terms_of, whole
 
 DIAL_US = 250_000  # where the settings name no time for connecting
 CONTROL = "EDGE_CONTROL"  # in the environment: the door's address where the configuration names none
@@ -59,16 +59,13 @@
     settings = need(raw, "settings", dict, top)
     # On sockets nobody tells the delay that a host's load makes: it answers lines at once as long as it runs.
     terms = replace(terms_of(settings, "settings"), late_told=False)
-    domain = settings.get("domain") or {}
-    caps = settings["caps"]
+    domain = maybe(settings, "domain", dict, "settings", {})
     seed = need(raw, "seed", (str, int), top)
     try:
         number = int(seed, 16) if isinstance(seed, str) else seed
     except ValueError:
         raise BadInput(f"{top}: seed is no hexadecimal number ({seed[:40]!r})") from None
-    limits = raw.get("limits") or {}
-    if not isinstance(limits, dict):
-        raise BadInput(f"{top}: limits is not an object")
+    limits = maybe(raw, "limits", dict, top, {})
     known = raw.get("known")
     return Plan(
         name=need(raw, "name", str, top),
@@ -80,10 +77,10 @@
         known=members_of(known, "known") if known is not None else Members(0, True, []),
         terms=terms,
         tariffs=names_of(settings["tariffs"], "tariffs"),
-        tenants=names_of(settings.get("tenants") or [], "tenants"),
+        tenants=names_of(maybe(settings, "tenants", list, "settings", []), "tenants"),
         zones=[str(zone) for zone in settings["areas"]],
         reach=Reach(
-            dial_us=int(caps.get("dial_timeout_us") or DIAL_US),
+            dial_us=whole(settings["caps"], "dial_timeout_us", "settings.caps", DIAL_US) or DIAL_US,
             probe_tells_load=terms.probe_tells_load,
             tells_delay=bool(domain.get("tells_delay")),
             strictest_us=min((t.message_us for t in terms.tariffs if t.message_us), default=0),
@@ -92,7 +89,7 @@
         passes_through=domain.get("mode") == "pass",
         longest_wait_us=max(
             (
-                int(need(entry, "cut_off_us", NUMBER, f"settings.tariffs[{place}]"))
+                whole(entry, "cut_off_us", f"settings.tariffs[{place}]")
                 for place, entry in enumerate(settings["tariffs"])
             ),
             default=0,
--- a/larchlatch/node/lifecycle/run.py
+++ b/larchlatch/node/lifecycle/run.py
@@ -49,6 +49,8 @@
         self.tasks = tasks
         self.wide = anyio.Event()
         self.scope = anyio.CancelScope()
+        self.idle = anyio.Event()  # nothing is being accepted
+        self.idle.set()
 
     def gate(self, wide: bool) -> None:
         if wide:
@@ -60,8 +62,22 @@
     async def run(self) -> None:
         while True:
             await self.wide.wait()
+            self.idle = anyio.Event()
             with anyio.CancelScope() as self.scope:
                 await self.accept()
+            self.idle.set()
+
+    async def shut(self) -> None:
+        """Take what the system has accepted for this node, and no more: whoever comes later is refused."""
+        self.gate(False)
+        # Danger: closed while the loop still waits on it, it would go on accepting, for nobody.
+        await self.idle.wait()
+        while (sock := self.listener.accept_now()) is not None:
+            self.room.lend(
+                1
+            )  # beside all others, and given back by the door: it can be answered now or never
+            self.tasks.start_soon(self.door.serve, sock)
+        self.listener.sock.close()
 
     async def accept(self) -> None:
         while True:
@@ -83,7 +99,7 @@
                 continue
             heard = self.door.heard(sock)
             if heard is not None and self.door.turned_away(sock, heard):
-                self.room.give()
+                self.tasks.start_soon(self.door.seen_off, sock)
             else:
                 self.tasks.start_soon(self.door.serve, sock, heard)
             await anyio.lowlevel.checkpoint()  # a crowd that waits must not keep those from work who are in
@@ -132,6 +148,7 @@
             else:
                 listener = Listener.bound(plan.listen, BACKLOG, shared=plan.control is not None)
             entrance = Entrance(listener, door, room, tasks)
+            leaving.shut = entrance.shut
             tasks.start_soon(entrance.run)
             if taking is None:
                 entrance.gate(True)
--- a/larchlatch/node/lifecycle/stop.py
+++ b/larchlatch/node/lifecycle/stop.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import anyio
 import structlog
 from anyio.abc import TaskGroup
@@ -15,6 +17,8 @@
 SPARE_S = 0.4  # all is over this long before that: a moved link takes a moment to close
 PASSING_S = 0.4  # for a link to come to a stop between two lines: well under the second that one may be held
 STEP_S = 0.05  # between two rounds of moves
+EARLY_S = 0.1  # before links have to have their answers, those who rest here are told to go
+LAST_S = 0.4  # for the last words to them, and their ends: within EARLY_S and SPARE_S
 
 log = structlog.get_logger()
 
@@ -28,6 +32,7 @@
         self.counters = counters
         self.tasks = tasks
         self.moving = False
+        self.shut: Callable[[], Awaitable[None]] | None = None  # closes the entrance
 
     def drain(self) -> None:
         """The phase has been told of a drain: see that links leave."""
@@ -39,13 +44,25 @@
         """Ends everything when nothing is in hand and the granted time is over."""
         log.info("stopping", links=len(self.door.standing))
         self.drain()
-        until = anyio.current_time() + self.phase.stop_s + SPARE_S
+        until = anyio.current_time() + self.phase.stop_s - EARLY_S
         # Until the time is up new links may come through a front that has not noticed, unless another process
         # takes them; those that have connected here get their answer here.
         while self.door.in_hand > 0 or (
             anyio.current_time() < until and not (self.phase.hands_over and not self.door.unheard)
         ):
+            if anyio.current_time() >= until:
+                self.door.dismiss()
             await anyio.sleep(STEP_S)
+        # Cut off as it is, a connection whose line has just come would be reset: each gets a word first, also
+        # those that the system has accepted for this node and that it has not taken yet.
+        self.door.dismiss()
+        if (
+            self.shut is not None and not self.phase.hands_over
+        ):  # what waits to be accepted is the other process's otherwise
+            await self.shut()
+        with anyio.move_on_after(LAST_S):
+            while self.door.connections > 0:
+                await anyio.sleep(STEP_S)
         self.tasks.cancel_scope.cancel()
 
     async def move(self) -> None:
--- a/larchlatch/node/memory/hand.py
+++ b/larchlatch/node/memory/hand.py
@@ -38,6 +38,7 @@
         self.verdict: Verdict | None = None
         self.settled = anyio.Event()
         self.gone = False  # the client has left, or its link is over
+        self.hung_up: Callable[[], bool] | None = None  # asks the system whether the client has
         self.attempt: anyio.CancelScope | None = None  # the setup try that is out
         self.move = anyio.Event()
         self.pass_on: Callable[[], None] | None = None  # stops a standing link for another process
@@ -52,3 +53,14 @@
         self.verdict = verdict
         self.settled.set()
         return True
+
+    def leave(self) -> None:
+        """The client has left: nothing more is begun for it, and nobody is there for an answer."""
+        self.gone = True
+        self.settled.set()
+
+    def abandoned(self) -> bool:
+        """Whether nothing may be begun for it: it is answered, or its client has left, read or unread."""
+        if not self.gone and self.verdict is None and self.hung_up is not None and self.hung_up():
+            self.leave()
+        return self.gone or self.verdict is not None
--- a/larchlatch/node/memory/room.py
+++ b/larchlatch/node/memory/room.py
@@ -41,6 +41,11 @@
         self.most -= number
         self.free -= number
 
+    @property
+    def short(self) -> bool:
+        """Whether links may soon want what connections without one hold."""
+        return self.free < self.most // QUIET_SHARE
+
     @property
     def held(self) -> int:
         return self.most - self.free
--- a/larchlatch/node/module.py
+++ b/larchlatch/node/module.py
@@ -63,6 +63,10 @@
         with anyio.CancelScope(shield=True):
             await self.sender.send(word)
 
+    async def submit(self, word: words.Arrived) -> None:
+        """A link that is new; whoever breaks the waiting off takes it back."""
+        await self.sender.send(word)
+
     async def run(self) -> None:
         async with anyio.create_task_group() as tasks:
             self.peer_tasks = tasks
@@ -91,7 +95,7 @@
         brain = self.brain
         match word:
             case words.Arrived(hand):
-                if not hand.gone and not self.over_budget(hand):
+                if not hand.abandoned() and not self.over_budget(hand):
                     self.hands[hand.link.number] = hand
                     self.carry_out(hand, brain.place(now, hand.link))
             case words.Due(hand):
@@ -274,15 +278,20 @@
         return self.numbers.setdefault(name, len(self.numbers))
 
     def listed(self, now: int, told: Members, asked: bool) -> None:
-        for member in told.members:
+        # An entry that can't be read says nothing: a whole list without it would have its host gone.
+        spared = [self.known[name] for name in told.unreadable if name in self.known]
+        members = [*told.members, *spared]
+        for member in members:
             self.known[member.name] = member
             number = self.number(member.name)
             log.debug("listed", host=member.name, state=member.state.name, up=member.came_up)
             peer = self.peers.get(number)
             if peer is not None:
                 peer.address = member.address
+                peer.open_to_new = member.state is State.READY
                 continue
             peer = Peer(number, member.name, member.address, self.reach, self.room, self.counters, self.post)
+            peer.open_to_new = member.state is State.READY
             self.peers[number] = peer
             if self.peer_tasks is not None:
                 self.peer_tasks.start_soon(peer.run)
@@ -290,10 +299,11 @@
                 "listed", host=member.name, state=member.state.name, size=member.size, up=member.came_up
             )
         if told.whole:
-            named = {member.name for member in told.members}
+            named = {member.name for member in members}
             for member in self.known.values():
                 if member.name not in named:
                     self.known[member.name] = member._replace(state=State.GONE)
+                    self.peers[self.numbers[member.name]].open_to_new = False
         lines = [
             Listed(
                 self.numbers[member.name],
@@ -304,7 +314,7 @@
                 member.size,
                 member.came_up,
             )
-            for member in told.members
+            for member in members
         ]
         self.brain.hosts_listed(now, lines, whole=told.whole, asked=asked)
         if self.fellows is not None:
--- a/larchlatch/node/peer.py
+++ b/larchlatch/node/peer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import statistics
 from collections import deque
 from typing import NamedTuple
@@ -16,7 +17,7 @@
 from larchlatch.node.memory.hand import Delivered, GivenUp, Hand
 from larchlatch.node.memory.room import Room
 from larchlatch.node.wire import lines as say
-from larchlatch.node.wire.stream import Ending, Lines, Unconnected, connect
+from larchlatch.node.wire.stream import Ending, Lines, Unconnected, connect, dial, lines_of, written
 from larchlatch.node.words import DelayNote, LoadNote, Post, Probed, Quiet, Stood, Tried
 
 MAILBOX = 4096  # orders: a crowd of all clients of a node at one host
@@ -26,6 +27,8 @@
 SILENT_US = 1_500_000  # a link without an answer for so long is given up: sound ones are answered at once
 STALLED_US = 10_000_000  # a client that reads nothing for so long is cut off: sound ones read at once
 QUIET_US = 500_000  # no answer to any link for so long is told at once: many round trips between zones
+AHEAD_US = 20_000  # a line is on its way to another zone for less than this
+ROOM_S = 0.005  # between two looks for a descriptor, where all are held
 PROBE_S = 0.4  # a probe's answer takes a round trip; by then the next one is nearly due
 NOTED_SHARE = 3  # messages that take over a third of the strictest wanted time are told of
 
@@ -70,6 +73,7 @@
         self.room = room
         self.counters = counters
         self.post = post
+        self.open_to_new = True  # by what the list said last
         self.standing: dict[int, Hand] = {}
         self.trying = 0  # setup tries under way
         self.delays: deque[tuple[int, int]] = deque(maxlen=256)  # when an answer came, what it took
@@ -108,7 +112,7 @@
         """One setup try, and its outcome told."""
         outcome = Outcome.UNSENT
         began = now_us()
-        if not hand.gone:
+        if self.may_send(hand, until):
             self.trying += 1
             with anyio.CancelScope() as scope:
                 outcome = Outcome.CANCELLED
@@ -131,18 +135,23 @@
 
     async def tried(self, hand: Hand, until: int) -> Outcome:
         # Without a descriptor nothing has left this node: the module may try again, whatever the tariff.
-        if not self.room.take(anyio.current_time()):
+        if not await self.room_had(min(self.reach.dial_us / 1e6, seconds_until(until))):
             return Outcome.UNSENT
         host: Lines | None = None
         kept = False
         try:
-            within = min(self.reach.dial_us / 1e6, seconds_until(until))
-            made = await connect(self.address, within)
-            if isinstance(made, Unconnected):
-                return Outcome.UNSENT if made is Unconnected.NO_ROOM else Outcome.UNREACHED
-            host = made
+            sock = await dial(self.address, min(self.reach.dial_us / 1e6, seconds_until(until)))
+            if isinstance(sock, Unconnected):
+                return Outcome.UNSENT if sock is Unconnected.NO_ROOM else Outcome.UNREACHED
             with anyio.move_on_after(seconds_until(until)):
-                outcome = await self.asked(hand, host, until)
+                # What was true at the decision may not be by now: dialling took its time, and the loop.
+                if not self.may_send(hand, until):
+                    sock.close()
+                    return Outcome.UNSENT
+                if not await self.said(sock, hand, until):
+                    return Outcome.UNREACHED
+                host = await lines_of(sock)
+                outcome = await self.asked(hand, host)
                 kept = outcome in (Outcome.STANDS, Outcome.ENDED)
                 return outcome
             return Outcome.SILENT
@@ -153,11 +162,42 @@
                     await host.close()
                 self.room.give()
 
-    async def asked(self, hand: Hand, host: Lines, until: int) -> Outcome:
+    async def room_had(self, within_s: float) -> bool:
+        """Whether there is room for one more connection."""
+        # Who makes way takes a moment to go: given up at once, all of a link's attempts would pass in that.
+        with anyio.move_on_after(within_s):
+            while not self.room.take(anyio.current_time()):
+                await anyio.sleep(ROOM_S)
+            return True
+        return False
+
+    def may_send(self, hand: Hand, until: int) -> bool:
+        """Whether an attempt that was decided on may still go out."""
+        now, why = now_us(), ""
+        if hand.abandoned():
+            why = "client gone"
+        elif hand.opening.standing_at is None and not self.open_to_new:
+            why = "host drains"
+        elif now >= until:
+            why = "too late"
+        elif now + AHEAD_US >= hand.link.repeat_until:
+            why = "its repeat would be forgotten"
+        if why:
+            self.counters.add(f"attempt not begun: {why}")
+        return not why
+
+    async def said(self, sock: socket.socket, hand: Hand, until: int) -> bool:
+        """Whether the link's line was written whole; if not, it can't have run."""
+        whole = False
+        try:
+            whole = await written(sock, say.try_line(hand.opening, until - now_us()))
+        finally:
+            if not whole:
+                sock.close()
+        return whole
+
+    async def asked(self, hand: Hand, host: Lines) -> Outcome:
         """What the host answers to the link's line."""
-        # Broken before the line's last byte was written: it can't have run.
-        if not await host.send(say.try_line(hand.opening, until - now_us())):
-            return Outcome.UNREACHED
         while True:
             line = await host.line()
             if line is Ending.TOO_LONG:
--- a/larchlatch/node/wire/listen.py
+++ b/larchlatch/node/wire/listen.py
@@ -42,6 +42,15 @@
         host, port = self.sock.getsockname()[:2]
         return str(host), int(port)
 
+    def accept_now(self) -> socket.socket | None:
+        """A connection that is there already; None where there is none, or none can be had."""
+        try:
+            made, _ = self.sock.accept()
+        except OSError:
+            return None
+        made.setblocking(False)
+        return made
+
     async def accept(self) -> socket.socket:
         """The next connection."""
         # Cancelled only while it waits: accepted and then dropped, a client would be turned back unheard.
--- a/larchlatch/terms.py
+++ b/larchlatch/terms.py
@@ -13,6 +13,7 @@
 }
 
 NUMBER = (int, float)
+MOST = 2**53  # beyond it a number in JSON is no longer exact: microseconds of centuries
 
 
 class BadInput(Exception):
@@ -29,6 +30,21 @@
     return value
 
 
+def maybe(holder: dict[str, Any], item: str, kind: Any, where: str, default: Any) -> Any:
+    """The item of that name, the default where it is missing or null, or a plain complaint."""
+    return default if holder.get(item) is None else need(holder, item, kind, where)
+
+
+def whole(holder: dict[str, Any], item: str, where: str, default: int | None = None) -> int:
+    """A number of at least 0 as a whole one: lengths of time, counts."""
+    value = (
+        need(holder, item, NUMBER, where) if default is None else maybe(holder, item, NUMBER, where, default)
+    )
+    if not 0 <= value < MOST:
+        raise BadInput(f"{where}: {item} is out of range ({value})")
+    return int(value)
+
+
 def known(value: str, names: dict[str, Any], where: str) -> Any:
     """What the wire's word stands for."""
     if value not in names:
@@ -41,25 +57,35 @@
     caps = need(conf, "caps", dict, top)
     rules = need(conf, "rules", dict, top)
     telemetry = need(conf, "telemetry", dict, top)
-    domain = conf.get("domain") or {}
+    domain = maybe(conf, "domain", dict, top, {})
     need(conf, "areas", list, top)
-    message_us = domain.get("message_aim_us") or []
+    message_us = maybe(domain, "message_aim_us", list, f"{top}.domain", [])
     tariffs = []
     for place, entry in enumerate(need(conf, "tariffs", list, top)):
         where = f"{top}.tariffs[{place}]"
         if not isinstance(entry, dict):
             raise BadInput(f"{where}: not an object")
+        wanted = message_us[place] if place < len(message_us) else 0
+        if not isinstance(wanted, NUMBER):
+            raise BadInput(
+                f"{top}.domain: message_aim_us[{place}] has the wrong type ({type(wanted).__name__})"
+            )
         tariffs.append(
             Tariff(
-                expected_us=int(need(entry, "expected_time_us", NUMBER, where)),
-                message_us=int(message_us[place]) if place < len(message_us) else 0,
+                expected_us=whole(entry, "expected_time_us", where),
+                message_us=int(wanted),
                 repeat=known(need(entry, "effect", str, where), REPEATS, f"{where}.effect"),
-                group=known(entry.get("group") or "all", {g.value: g for g in Group}, f"{where}.group"),
-                memory_us=int(entry.get("repeat_window_us") or 0),
+                group=known(
+                    maybe(entry, "group", str, where, "") or "all",
+                    {g.value: g for g in Group},
+                    f"{where}.group",
+                ),
+                memory_us=whole(entry, "repeat_window_us", where, 0),
             )
         )
     probes = bool(caps.get("probes"))
-    fields = telemetry.get("fields") or []
+    fields = maybe(telemetry, "fields", list, f"{top}.telemetry", [])
+    longest_return_us = whole(caps, "max_retry_after_us", f"{top}.caps", 0)
     return Terms(
         me=need(conf, "me", int, top),
         nodes=max(1, need(conf, "peers_total", int, top)),
@@ -72,10 +98,10 @@
         probe_tells_load=probes and telemetry.get("via") != "none" and "x0" in fields,
         late_told=bool(domain.get("tells_delay")),
         most_tries=need(caps, "most_setup_tries", int, f"{top}.caps"),
-        longest_return_us=int(caps.get("max_retry_after_us") or 0) if caps.get("retry_after") else 0,
-        ask_within_us=int(need(rules, "ask_within_us", NUMBER, f"{top}.rules")),
+        longest_return_us=longest_return_us if caps.get("retry_after") else 0,
+        ask_within_us=whole(rules, "ask_within_us", f"{top}.rules"),
         cold_from=float(need(rules, "cold_from", NUMBER, f"{top}.rules")),
-        cold_us=int(need(rules, "cold_us", NUMBER, f"{top}.rules")),
+        cold_us=max(1, whole(rules, "cold_us", f"{top}.rules")),
         tip_multiple=float(need(rules, "tip_multiple", NUMBER, f"{top}.rules")),
-        tip_after_us=int(need(rules, "tip_after_us", NUMBER, f"{top}.rules")),
+        tip_after_us=max(1, whole(rules, "tip_after_us", f"{top}.rules")),
     )
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,485 @@
+"""What crosses on the sockets: a client's leaving, a host's news, an end, in the instant of something else.
+
+Each crossing is forced: what would have to come in between is made to come there.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import socket
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import anyio
+import anyio.to_thread
+import orjson
+import pytest
+from anyio.abc import TaskGroup
+
+from larchlatch.links import Link, Outcome
+from larchlatch.node import client as node_client
+from larchlatch.node import peer as node_peer
+from larchlatch.node.clock import now_us
+from larchlatch.node.lifecycle import run as node_run
+from larchlatch.node.memory.counters import Counters
+from larchlatch.node.memory.hand import GivenUp, Hand
+from larchlatch.node.memory.room import Room
+from larchlatch.node.module import Module
+from larchlatch.node.peer import Peer, Reach
+from larchlatch.node.wire import lines as say
+from larchlatch.node.wire import stream
+from larchlatch.node.wire.catalog import Members, member_of
+from larchlatch.node.wire.stream import Unconnected
+from larchlatch.node.words import Tried, Word
+from tests.ground import Discovery, Hosts, configuration, member, on_loopback, opened, process, until
+from tests.test_node import serving, started
+
+Door = node_client.Door
+FLOOD = b"more and more\r\n" * 8000
+
+
+@pytest.fixture
+def doors(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[Door]]:
+    """The doors of the nodes that a test starts in this process."""
+    made: list[Door] = []
+
+    class Kept(Door):
+        def __init__(self, *given: Any) -> None:
+            super().__init__(*given)
+            made.append(self)
+
+    monkeypatch.setattr(node_run, "Door", Kept)
+    yield made
+
+
+async def at_rest(door: Door) -> None:
+    """Nothing is left of what went through it: no connection, id, attempt or descriptor."""
+    module = door.module
+    await until(
+        lambda: (
+            not (door.connections or door.in_hand or door.idents or door.standing or module.hands)
+            and not (door.resting or door.unheard)
+            and all(not peer.trying and not peer.standing for peer in module.peers.values())
+            and door.room.free == door.room.most - 1  # for the next one to be accepted
+        )
+    )
+
+
+def raw_client(port: int, said: bytes) -> socket.socket:
+    client = socket.create_connection(("127.0.0.1", port))
+    client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    client.sendall(said)
+    return client
+
+
+async def all_of(client: socket.socket) -> bytes:
+    """What a client gets up to the end; a reset is an error."""
+
+    def read() -> bytes:
+        got = b""
+        client.settimeout(10)
+        while some := client.recv(65536):
+            got += some
+        client.close()
+        return got
+
+    return await anyio.to_thread.run_sync(read)
+
+
+def line_of(ident: str, more: str = "", wait_ms: int = 2000) -> bytes:
+    return f"OPEN {ident} k1 c=rerun,t=acme,d={wait_ms}{more}\r\n".encode()
+
+
+# Closing over bytes that nobody has read.
+
+
+@pytest.mark.parametrize("first", [b"nonsense\r\n", b"OPEN a\r\n", b"x" * 5000, line_of("twice")])
+def test_an_answer_arrives_though_bytes_follow_that_nobody_reads(first: bytes, doors: list[Door]) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("silent").start(tasks)
+        port = await started(tasks, hosts)
+        assert await all_of(raw_client(port, first + FLOOD)) == b"ERR\r\n"
+        await at_rest(doors[0])
+
+    on_loopback(body)
+
+
+def test_a_link_turned_away_unread_gets_its_answer_whole() -> None:
+    async def body(tasks: TaskGroup) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            client = raw_client(server.getsockname()[1], line_of("a") + FLOOD)
+            node, _ = server.accept()
+        node.setblocking(False)
+        node.recv(100)
+        stream.answer_at_once(node, b"BUSY 7\r\n")
+        tasks.start_soon(stream.see_off, node, 1.0)
+        assert await all_of(client) == b"BUSY 7\r\n"
+        await until(lambda: node.fileno() < 0)
+
+    on_loopback(body)
+
+
+# Clients that leave.
+
+
+def test_a_client_whose_end_lies_behind_other_bytes_is_gone(doors: list[Door]) -> None:
+    """It goes on from elsewhere, says more, and leaves while its link waits for a place."""
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP r1").start(tasks)
+        rows = [member(0, hosts.addresses[0])]
+        discovery = await Discovery([]).start(tasks)
+        raw = configuration(hosts.addresses, discovery.port)
+        raw["known"]["members"][0]["phase"] = "terminating"
+        port = await serving(tasks, raw)
+        client = raw_client(port, line_of("a", ",mid=1", 3000))
+        await until(lambda: doors[0].in_hand == 1)
+        client.sendall(b"one\r\n")
+        client.sendall(b"two\r\n")
+        client.close()
+        await at_rest(doors[0])
+        doors[0].module.listed(now_us(), say_members(rows), True)
+        assert await (await opened(port)).line() == b"UP r1\r\n"
+        assert len(hosts.lines) == 1, "an attempt for a client that had left"
+
+    on_loopback(body)
+
+
+def say_members(rows: list[dict[str, Any]]) -> Any:
+    return Members(9, False, [member_of(row, "row") for row in rows])
+
+
+@pytest.mark.parametrize("behind", [b"", b"unread\r\n" * 100])
+def test_no_attempt_goes_out_for_a_client_that_left_since_the_decision(
+    behind: bytes, doors: list[Door], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its end lies in this machine when the connection to the host comes up; nobody has read it yet."""
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP r1").start(tasks)
+        port = await started(tasks, hosts)
+        clients: list[socket.socket] = []
+
+        async def dialled(address: tuple[str, int], within_s: float) -> socket.socket | Unconnected:
+            made = await stream.dial(address, within_s)
+            if clients:
+                clients[0].sendall(behind)
+                clients.pop().close()
+            return made
+
+        monkeypatch.setattr(node_peer, "dial", dialled)
+        clients.append(raw_client(port, line_of("a", ",mid=1")))
+        await until(lambda: not clients)
+        await at_rest(doors[0])
+        assert not hosts.lines
+        assert doors[0].counters.counts["attempt not begun: client gone"] == 1
+
+    on_loopback(body)
+
+
+def test_a_client_that_leaves_before_the_decisions_come_to_it_costs_no_attempt(
+    doors: list[Door], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    gate = anyio.Event()
+    real = Module.submit
+
+    async def submit(module: Module, word: Any) -> None:
+        await gate.wait()  # as long as its mailbox is full
+        await real(module, word)
+
+    monkeypatch.setattr(Module, "submit", submit)
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP r1").start(tasks)
+        port = await started(tasks, hosts)
+        client = raw_client(port, line_of("a"))
+        await until(lambda: doors[0].in_hand == 1)
+        client.close()
+        await until(lambda: doors[0].connections == 0 or gate.is_set())
+        gate.set()
+        await at_rest(doors[0])
+        assert not hosts.lines
+
+    on_loopback(body)
+
+
+def test_a_link_that_the_decisions_never_come_to_is_answered_in_time(
+    doors: list[Door], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def submit(module: Module, word: Any) -> None:
+        await anyio.sleep_forever()
+
+    monkeypatch.setattr(Module, "submit", submit)
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP r1").start(tasks)
+        port = await started(tasks, hosts)
+        began = anyio.current_time()
+        assert (await all_of(raw_client(port, line_of("a", wait_ms=1000)))).startswith(b"BUSY ")
+        assert anyio.current_time() < began + 1.0
+        assert not hosts.lines
+        await at_rest(doors[0])
+
+    on_loopback(body)
+
+
+# An attempt, between its decision and its sending.
+
+
+class Alone:
+    """A host's actor without a node."""
+
+    def __init__(self, address: str) -> None:
+        name, _, port = address.rpartition(":")
+        self.words: list[Word] = []
+        self.room = Room(1024)
+        self.counters = Counters()
+        reach = Reach(250_000, False, False, 0)
+        self.peer = Peer(0, "s-0", (name, int(port)), reach, self.room, self.counters, self.post)
+
+    async def post(self, word: Word) -> None:
+        self.words.append(word)
+
+    async def attempt(self, hand: Hand, within_us: int = 1_000_000) -> Outcome:
+        await self.peer.attempt(hand, now_us() + within_us)
+        (word,) = self.words
+        assert isinstance(word, Tried)
+        assert self.peer.trying == 0 and hand.attempt is None
+        return word.outcome
+
+
+def hand_of(tariff: str = "once") -> Hand:
+    opening = say.opening_of(f"OPEN a k1 c={tariff},d=1000\r\n".encode())
+    assert isinstance(opening, say.Opening)
+    return Hand(Link(0, 0, 1, None, now_us() + 1_000_000), opening)
+
+
+def drains(alone: Alone, hand: Hand) -> None:
+    alone.peer.open_to_new = False
+
+
+def forgets(alone: Alone, hand: Hand) -> None:
+    hand.link.repeat_until = now_us()
+
+
+def leaves(alone: Alone, hand: Hand) -> None:
+    hand.leave()
+
+
+def is_answered(alone: Alone, hand: Hand) -> None:
+    hand.settle(GivenUp())
+
+
+@pytest.mark.parametrize("meanwhile", [drains, forgets, leaves, is_answered])
+def test_nothing_is_sent_that_became_wrong_while_the_connection_came_up(
+    meanwhile: Callable[[Alone, Hand], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP r1").start(tasks)
+        alone, hand = Alone(hosts.addresses[0]), hand_of()
+
+        async def dialled(address: tuple[str, int], within_s: float) -> socket.socket | Unconnected:
+            made = await stream.dial(address, within_s)
+            meanwhile(alone, hand)
+            return made
+
+        monkeypatch.setattr(node_peer, "dial", dialled)
+        assert await alone.attempt(hand) is Outcome.UNSENT
+        assert not hosts.lines and alone.room.free == alone.room.most
+
+    on_loopback(body)
+
+
+def test_a_connection_that_comes_up_after_the_attempts_time_carries_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP r1").start(tasks)
+        alone = Alone(hosts.addresses[0])
+        late = now_us() + 30_000
+
+        async def dialled(address: tuple[str, int], within_s: float) -> socket.socket | Unconnected:
+            made = await stream.dial(address, within_s)
+            await until(lambda: now_us() > late)
+            return made
+
+        monkeypatch.setattr(node_peer, "dial", dialled)
+        assert await alone.attempt(hand_of(), 20_000) is Outcome.UNSENT
+        assert not hosts.lines and alone.room.free == alone.room.most
+
+    on_loopback(body)
+
+
+def test_a_line_that_the_system_did_not_take_whole_can_not_have_run() -> None:
+    """Reset before its last byte: the attempt may go out again, whatever its class. Later it may have run."""
+
+    async def body(tasks: TaskGroup) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            made = await stream.dial(server.getsockname()[:2], 1.0)
+            assert isinstance(made, socket.socket)
+            host, _ = server.accept()
+        with made, host:
+            made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            ended: list[bool] = []
+
+            async def write() -> None:
+                ended.append(await stream.written(made, b"x" * 10_000_000))
+
+            tasks.start_soon(write)
+            await anyio.wait_readable(host)
+            assert not ended
+            host.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            host.close()
+            await until(lambda: bool(ended))
+            assert ended == [False]
+        hosts = await Hosts("reset").start(tasks)
+        assert await Alone(hosts.addresses[0]).attempt(hand_of()) is Outcome.CUT
+
+    on_loopback(body)
+
+
+def descriptors() -> int:
+    gc.collect()  # what other tests have left
+    return len(os.listdir("/proc/self/fd"))
+
+
+@pytest.mark.parametrize("broken_off", [False, True])
+def test_dialling_leaves_no_descriptor_behind(broken_off: bool) -> None:
+    """Given up by time, and broken off from outside, in the middle and in the instant it comes up."""
+
+    async def body(tasks: TaskGroup) -> None:
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as server:
+            address = server.getsockname()[:2]
+            filler = [socket.socket() for _ in range(4)]
+            for sock in filler:
+                sock.setblocking(False)
+                sock.connect_ex(address)
+            before = descriptors()
+            if broken_off:
+                with anyio.move_on_after(0.05):
+                    await stream.dial(address, 1000.0)
+            else:
+                assert await stream.dial(address, 0.05) is Unconnected.UNREACHED
+            assert descriptors() == before
+            for sock in filler:
+                sock.close()
+        with socket.create_server(("127.0.0.1", 0)) as server, anyio.CancelScope() as scope:
+            before = descriptors()
+            scope.cancel()
+            await stream.dial(server.getsockname()[:2], 1.0)
+        assert descriptors() == before - 1
+
+    on_loopback(body)
+
+
+def test_an_unknown_name_and_a_refusal_are_no_connection() -> None:
+    async def body(tasks: TaskGroup) -> None:
+        assert await stream.dial(("127.0.0.1", 1), 1.0) is Unconnected.UNREACHED
+        assert await stream.dial(("no.such.name.invalid", 1), 5.0) is Unconnected.UNREACHED
+
+    on_loopback(body)
+
+
+# The end of a node.
+
+
+def short_lived(hosts: Hosts, discovery: int, **changes: Any) -> dict[str, Any]:
+    """A configuration whose node is granted little time after SIGTERM."""
+    raw = configuration(hosts.addresses, discovery, **changes)
+    for tariff in raw["settings"]["tariffs"]:
+        tariff["cut_off_us"] = 400_000
+    return raw
+
+
+@pytest.mark.parametrize("mode", ["proxy", "pass"])
+def test_whoever_rests_when_a_node_ends_gets_a_word_and_no_reset(mode: str, tmp_path: Path) -> None:
+    """One says nothing at all, one half a line; a link waits for its host's answer, and gets it."""
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("late UP r1").start(tasks)
+        discovery = await Discovery([]).start(tasks)
+        path = tmp_path / "node.json"
+        raw = short_lived(hosts, discovery.port, domain={"mode": mode})
+        raw["settings"]["tariffs"][0]["cut_off_us"] = 2_000_000
+        path.write_bytes(orjson.dumps(raw))
+        async with process(path) as node:
+            resting = [raw_client(node.port, said) for said in (b"", b"OPEN half")]
+            waiting = await opened(node.port)
+            await until(lambda: len(hosts.lines) == 1)
+            for _ in range(2):  # the second changes nothing
+                node.signal(signal.SIGTERM)
+            assert await waiting.line() == b"UP r1\r\n"
+            await waiting.close()
+            for client in resting:
+                assert (await all_of(client)).startswith(b"BUSY ")
+            assert await node.ended() == 0
+
+    on_loopback(body)
+
+
+def test_what_waits_to_be_accepted_at_the_end_is_answered_and_what_comes_later_refused(
+    doors: list[Door], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The system has accepted them, and holds their requests, when the node shuts its entrance."""
+    entrances: list[node_run.Entrance] = []
+
+    class Kept(node_run.Entrance):
+        def __init__(self, *given: Any) -> None:
+            super().__init__(*given)
+            entrances.append(self)
+
+    monkeypatch.setattr(node_run, "Entrance", Kept)
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP r1").start(tasks)
+        port = await started(tasks, hosts)
+        (entrance,) = entrances
+        entrance.gate(False)
+        await entrance.idle.wait()
+        wait = [raw_client(port, said) for said in [line_of(f"id{n}") for n in range(50)] + [b"", b"half"]]
+        assert doors[0].connections == 0
+        doors[0].dismiss()
+        await entrance.shut()
+        with pytest.raises(ConnectionRefusedError):
+            raw_client(port, b"")
+        for client in wait:
+            assert (await all_of(client)).startswith(b"BUSY ")
+        assert not hosts.lines
+
+    on_loopback(body)
+
+
+def test_a_node_that_ends_turns_away_what_the_system_accepted_for_it(doors: list[Door]) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP r1").start(tasks)
+        port = await started(tasks, hosts)
+        rests = raw_client(port, b"")
+        await until(lambda: doors[0].unheard == 1)
+        doors[0].dismiss()
+        came = [raw_client(port, said) for said in (line_of("a"), b"", b"half a li")]
+        for client in (rests, *came):
+            assert (await all_of(client)).startswith(b"BUSY ")
+        assert not hosts.lines
+        await at_rest(doors[0])
+
+    on_loopback(body)
+
+
+def test_links_at_the_end_are_answered_before_it(doors: list[Door]) -> None:
+    """However long a client would wait: what is still out when the process is killed has no answer."""
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("silent").start(tasks)
+        port = await started(tasks, hosts)
+        phase = doors[0].phase
+        phase.stop(anyio.current_time())
+        phase.stop_s = 0.3
+        began = anyio.current_time()
+        assert await all_of(raw_client(port, line_of("a", wait_ms=3000)))
+        assert anyio.current_time() < began + 2.0
+        await at_rest(doors[0])
+
+    on_loopback(body)
