--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,7 +9,8 @@
 import os
 import signal
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -17,7 +18,7 @@
 import anyio.to_thread
 import orjson
 import pytest
-from anyio.abc import TaskGroup
+from anyio.abc import SocketStream, TaskGroup
 
 from larchlatch.links import Link, Outcome
 from larchlatch.node import client as node_client
@@ -25,8 +26,8 @@
 from larchlatch.node.clock import now_us
 from larchlatch.node.lifecycle import run as node_run
 from larchlatch.node.memory.counters import Counters
-from larchlatch.node.memory.hand import GivenUp, Hand
-from larchlatch.node.memory.room import Room
+from larchlatch.node.memory.hand import Delivered, GivenUp, Hand
+from larchlatch.node.memory.room import RESERVE, Room
 from larchlatch.node.module import Module
 from larchlatch.node.peer import Peer, Reach
 from larchlatch.node.wire import lines as say
@@ -34,7 +35,19 @@
 from larchlatch.node.wire.catalog import Members, member_of
 from larchlatch.node.wire.stream import Unconnected
 from larchlatch.node.words import Tried, Word
-from tests.ground import Discovery, Hosts, configuration, member, on_loopback, opened, process, until
+from tests.ground import (
+    Discovery,
+    Hosts,
+    call,
+    configuration,
+    door_address,
+    member,
+    on_loopback,
+    opened,
+    port_of,
+    process,
+    until,
+)
 from tests.test_node import serving, started
 
 Door = node_client.Door
@@ -483,3 +496,203 @@
         await at_rest(doors[0])
 
     on_loopback(body)
+
+
+# Answers that cross with the end of an attempt.
+
+
+class Scripted:
+    """A host that does as told with each connection's first line, step by step."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+        self.address = ("", 0)
+        self.ended = 0
+
+    async def start(
+        self, tasks: TaskGroup, answer: Callable[[Scripted, SocketStream], Awaitable[None]]
+    ) -> Scripted:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.address = ("127.0.0.1", port_of(listener))
+
+        async def serve(link: SocketStream) -> None:
+            with suppress(anyio.BrokenResourceError, anyio.EndOfStream):
+                async with link:
+                    self.lines.append(await link.receive())
+                    await answer(self, link)
+                    while True:
+                        await link.receive()
+            self.ended += 1
+
+        tasks.start_soon(listener.serve, serve)
+        return self
+
+    @property
+    def named(self) -> str:
+        return f"{self.address[0]}:{self.address[1]}"
+
+
+@pytest.mark.parametrize(
+    ("said", "comes"),
+    [
+        ([b"UP r1\r\nUP r2\r\n"], Outcome.STANDS),  # a second answer is the link's by then, as any line
+        ([b"BUSY\r\nUP r2\r\n"], Outcome.REFUSED),
+        ([b"ERR\r\n", b"UP r2\r\n"], Outcome.FAULT),
+        ([b"UP r", b"1\r\n"], Outcome.STANDS),
+        ([b"x" * 6000], Outcome.FAULT),
+        ([b"LOAD 1\r\n", b"LOAD 2\r\n", b"BYE\r\n"], Outcome.ENDED),
+    ],
+)
+def test_an_attempt_has_one_outcome_whatever_else_is_said(said: list[bytes], comes: Outcome) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        async def answer(host: Scripted, link: SocketStream) -> None:
+            for part in said:
+                await link.send(part)
+
+        host = await Scripted().start(tasks, answer)
+        alone, hand = Alone(host.named), hand_of()
+        await alone.peer.attempt(hand, now_us() + 5_000_000)
+        (told,) = [word for word in alone.words if isinstance(word, Tried)]
+        assert told.outcome is comes
+        if isinstance(hand.verdict, Delivered):
+            assert hand.verdict.line in (b"UP r1\r\n", b"BYE\r\n")
+            await hand.verdict.host.close()
+            alone.room.give()
+        await until(lambda: host.ended == 1)
+        assert alone.room.free == alone.room.most and alone.peer.trying == 0
+
+    on_loopback(body)
+
+
+@pytest.mark.parametrize("rest", [b"1\r\n", None])
+def test_an_answer_in_two_pieces_round_its_deadline_is_none(rest: bytes | None) -> None:
+    """The first piece in time, the second not, or never: whoever gets it, the client does not."""
+
+    async def body(tasks: TaskGroup) -> None:
+        given_up = anyio.Event()
+
+        async def answer(host: Scripted, link: SocketStream) -> None:
+            await link.send(b"UP r")
+            await given_up.wait()
+            if rest is not None:
+                await link.send(rest)
+
+        host = await Scripted().start(tasks, answer)
+        alone, hand = Alone(host.named), hand_of()
+        assert await alone.attempt(hand, 100_000) is Outcome.SILENT
+        given_up.set()
+        assert hand.verdict is None
+        await until(lambda: host.ended == 1)
+        assert alone.room.free == alone.room.most
+
+    on_loopback(body)
+
+
+def test_an_answer_that_comes_as_its_attempt_is_withdrawn_is_taken_or_leaves_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It lies read in this process when the attempt is broken off: one outcome, nothing left open."""
+
+    async def body(tasks: TaskGroup) -> None:
+        async def answer(host: Scripted, link: SocketStream) -> None:
+            await link.send(b"UP r1\r\n")
+
+        host = await Scripted().start(tasks, answer)
+        alone, hand = Alone(host.named), hand_of("rerun")
+        real = stream.Lines.line
+
+        async def line(lines: stream.Lines) -> Any:
+            got = await real(lines)
+            assert hand.attempt is not None
+            hand.attempt.cancel()
+            return got
+
+        monkeypatch.setattr(stream.Lines, "line", line)
+        outcome = await alone.attempt(hand)
+        assert (outcome is Outcome.STANDS) == isinstance(hand.verdict, Delivered)
+        if isinstance(hand.verdict, Delivered):
+            await hand.verdict.host.close()
+            alone.room.give()
+        await until(lambda: host.ended == 1)
+        assert alone.room.free == alone.room.most
+
+    on_loopback(body)
+
+
+def test_a_second_line_ends_the_attempt_that_is_out_and_none_follows(doors: list[Door]) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("silent", "UP r1").start(tasks, 3)
+        port = await started(tasks, hosts)
+        client = raw_client(port, line_of("a"))
+        await until(lambda: len(hosts.lines) == 1)
+        client.sendall(b"and now?\r\n")
+        assert await all_of(client) == b"ERR\r\n"
+        await until(lambda: hosts.ended == 1)
+        await at_rest(doors[0])
+        assert len(hosts.lines) == 1 and hosts.most_out == 1
+
+    on_loopback(body)
+
+
+# Many at once.
+
+
+def test_idle_clients_that_hold_all_descriptors_keep_neither_discovery_nor_operators_out(
+    doors: list[Door], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Discovery is down while they come; when it is back its news are heard, and a sound client is served."""
+    monkeypatch.setattr(node_run, "FIRST_LIST_S", 0.1)
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP r1").start(tasks, 2)
+        closed = socket.create_server(("127.0.0.1", 0))
+        port = closed.getsockname()[1]
+        closed.close()
+        raw = configuration(hosts.addresses[:1], port)
+        raw["limits"] = {"sockets": RESERVE + 24}
+        raw["control"] = door_address()
+        at = await serving(tasks, raw)
+        idle = [raw_client(at, b"") for _ in range(60)]
+        await until(lambda: doors[0].counters.counts["made room (silent)"] > 0)
+        assert (await call(raw["control"], "GET /ops/readiness"))[0] == 200
+        rows = [member(0, hosts.addresses[0], "terminating"), member(1, hosts.addresses[1])]
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port, reuse_port=True)
+
+        async def serve(link: SocketStream) -> None:
+            async with link:
+                await link.receive()
+                told = orjson.dumps({"revision": 5, "complete": True, "members": rows}) + b"\n"
+                await link.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                await link.send(b"%x\r\n%s\r\n" % (len(told), told))
+                await anyio.sleep_forever()
+
+        tasks.start_soon(listener.serve, serve)
+        await until(lambda: doors[0].counters.counts["list whole"] == 1)
+        for _ in range(5):
+            assert await (await opened(at)).line() == b"UP r1\r\n"
+        assert {host for host, _ in hosts.lines} == {1}
+        for client in idle:
+            client.close()
+
+    on_loopback(body)
+
+
+def test_a_herd_that_starts_at_once_is_ready_in_time(tmp_path: Path) -> None:
+    """Thirty processes on the cores there are, before a list that is out of reach."""
+
+    async def body(tasks: TaskGroup) -> None:
+        path = tmp_path / "node.json"
+        path.write_bytes(orjson.dumps(configuration(["127.0.0.1:1"], 1)))
+        began = anyio.current_time()
+        ready: list[float] = []
+
+        async def start() -> None:
+            async with process(path):
+                ready.append(anyio.current_time() - began)
+
+        async with anyio.create_task_group() as herd:
+            for _ in range(30):
+                herd.start_soon(start)
+        assert sorted(ready)[26] < 10.0
+
+    on_loopback(body)
