--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,7 +9,8 @@
 import os
 import signal
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -17,7 +18,7 @@
 import anyio.to_thread
 import orjson
 import pytest
-from anyio.abc import TaskGroup
+from anyio.abc import SocketStream, TaskGroup
 
 from larchlatch.links import Link, Outcome
 from larchlatch.node import client as node_client
@@ -25,8 +26,8 @@
 from larchlatch.node.clock import now_us
 from larchlatch.node.lifecycle import run as node_run
 from larchlatch.node.memory.counters import Counters
-from larchlatch.node.memory.hand import GivenUp, Hand
-from larchlatch.node.memory.room import Room
+from larchlatch.node.memory.hand import Delivered, GivenUp, Hand
+from larchlatch.node.memory.room import RESERVE, Room
 from larchlatch.node.module import Module
 from larchlatch.node.peer import Peer, Reach
 from larchlatch.node.wire import lines as say
@@ -34,11 +35,23 @@
 from larchlatch.node.wire.catalog import Members, member_of
 from larchlatch.node.wire.stream import Unconnected
 from larchlatch.node.words import Tried, Word
-from tests.ground import Discovery, Hosts, configuration, member, on_loopback, opened, process, until
+from tests.ground import (
+    Discovery,
+    Hosts,
+    call,
+    configuration,
+    door_address,
+    member,
+    on_loopback,
+    opened,
+    port_of,
+    process,
+    until,
+)
 from tests.test_node import serving, started
 
 Door = node_client.Door
-FLOOD = b"more and more\r\n" * 8000
+FLOOD = b"more and more\r\n" * 27_000  # more than is read at once, less than is read at all
 
 
 @pytest.fixture
@@ -68,6 +81,10 @@
     )
 
 
+PATIENT_US = 15_000_000  # how long a client waits that must not be answered by its time alone
+SOON_S = 8.0  # well before that, and long enough for any machine
+
+
 def raw_client(port: int, said: bytes) -> socket.socket:
     client = socket.create_connection(("127.0.0.1", port))
     client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -75,12 +92,13 @@
     return client
 
 
-async def all_of(client: socket.socket) -> bytes:
-    """What a client gets up to the end; a reset is an error."""
+async def all_of(client: socket.socket, more: bytes = b"") -> bytes:
+    """What a client that says more gets up to the end; a reset is an error."""
 
     def read() -> bytes:
         got = b""
         client.settimeout(10)
+        client.sendall(more)
         while some := client.recv(65536):
             got += some
         client.close()
@@ -96,12 +114,26 @@
 # Closing over bytes that nobody has read.
 
 
-@pytest.mark.parametrize("first", [b"nonsense\r\n", b"OPEN a\r\n", b"x" * 5000, line_of("twice")])
-def test_an_answer_arrives_though_bytes_follow_that_nobody_reads(first: bytes, doors: list[Door]) -> None:
+@pytest.mark.parametrize("first", [b"nonsense\r\n", b"OPEN a\r\n", b"x" * 5000, b"OPEN half"])
+def test_an_answer_arrives_though_bytes_follow_that_nobody_reads(
+    first: bytes, doors: list[Door], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """They come between the reading of the line and its answer."""
+    monkeypatch.setattr(node_client, "FIRST_LINE_S", 0.2)
+    clients: list[socket.socket] = []
+    real = stream.Lines.send
+
+    async def send(lines: stream.Lines, data: bytes) -> bool:
+        clients[0].sendall(b"more and more\r\n" * 100)
+        return await real(lines, data)
+
+    monkeypatch.setattr(stream.Lines, "send", send)
+
     async def body(tasks: TaskGroup) -> None:
         hosts = await Hosts("silent").start(tasks)
         port = await started(tasks, hosts)
-        assert await all_of(raw_client(port, first + FLOOD)) == b"ERR\r\n"
+        clients.append(raw_client(port, first))
+        assert await all_of(clients[0]) == b"ERR\r\n"
         await at_rest(doors[0])
 
     on_loopback(body)
@@ -110,13 +142,13 @@
 def test_a_link_turned_away_unread_gets_its_answer_whole() -> None:
     async def body(tasks: TaskGroup) -> None:
         with socket.create_server(("127.0.0.1", 0)) as server:
-            client = raw_client(server.getsockname()[1], line_of("a") + FLOOD)
+            client = raw_client(server.getsockname()[1], line_of("a"))
             node, _ = server.accept()
+        assert node.recv(100) == line_of("a")
         node.setblocking(False)
-        node.recv(100)
         stream.answer_at_once(node, b"BUSY 7\r\n")
         tasks.start_soon(stream.see_off, node, 1.0)
-        assert await all_of(client) == b"BUSY 7\r\n"
+        assert await all_of(client, FLOOD) == b"BUSY 7\r\n"
         await until(lambda: node.fileno() < 0)
 
     on_loopback(body)
@@ -134,13 +166,15 @@
         discovery = await Discovery([]).start(tasks)
         raw = configuration(hosts.addresses, discovery.port)
         raw["known"]["members"][0]["phase"] = "terminating"
+        raw["settings"]["tariffs"][0]["cut_off_us"] = PATIENT_US
         port = await serving(tasks, raw)
-        client = raw_client(port, line_of("a", ",mid=1", 3000))
+        client = raw_client(port, line_of("a", ",mid=1", PATIENT_US // 1000))
         await until(lambda: doors[0].in_hand == 1)
         client.sendall(b"one\r\n")
         client.sendall(b"two\r\n")
         client.close()
-        await at_rest(doors[0])
+        with anyio.fail_after(SOON_S):
+            await at_rest(doors[0])
         doors[0].module.listed(now_us(), say_members(rows), True)
         assert await (await opened(port)).line() == b"UP r1\r\n"
         assert len(hosts.lines) == 1, "an attempt for a client that had left"
@@ -190,15 +224,20 @@
         await gate.wait()  # as long as its mailbox is full
         await real(module, word)
 
+    monkeypatch.setattr(Module, "offer", lambda module, word: False)
     monkeypatch.setattr(Module, "submit", submit)
 
     async def body(tasks: TaskGroup) -> None:
         hosts = await Hosts("UP r1").start(tasks)
-        port = await started(tasks, hosts)
-        client = raw_client(port, line_of("a"))
+        discovery = await Discovery([]).start(tasks)
+        raw = configuration(hosts.addresses, discovery.port)
+        raw["settings"]["tariffs"][0]["cut_off_us"] = PATIENT_US
+        port = await serving(tasks, raw)
+        client = raw_client(port, line_of("a", wait_ms=PATIENT_US // 1000))
         await until(lambda: doors[0].in_hand == 1)
         client.close()
-        await until(lambda: doors[0].connections == 0 or gate.is_set())
+        with anyio.fail_after(SOON_S):
+            await until(lambda: doors[0].in_hand == 0)
         gate.set()
         await at_rest(doors[0])
         assert not hosts.lines
@@ -212,6 +251,7 @@
     async def submit(module: Module, word: Any) -> None:
         await anyio.sleep_forever()
 
+    monkeypatch.setattr(Module, "offer", lambda module, word: False)
     monkeypatch.setattr(Module, "submit", submit)
 
     async def body(tasks: TaskGroup) -> None:
@@ -452,7 +492,11 @@
     on_loopback(body)
 
 
-def test_a_node_that_ends_turns_away_what_the_system_accepted_for_it(doors: list[Door]) -> None:
+def test_a_node_that_ends_turns_away_what_the_system_accepted_for_it(
+    doors: list[Door], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(node_client, "FIRST_LINE_S", 1000.0)
+
     async def body(tasks: TaskGroup) -> None:
         hosts = await Hosts("UP r1").start(tasks)
         port = await started(tasks, hosts)
@@ -483,3 +527,203 @@
         await at_rest(doors[0])
 
     on_loopback(body)
+
+
+# Answers that cross with the end of an attempt.
+
+
+class Scripted:
+    """A host that does as told with each connection's first line, step by step."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+        self.address = ("", 0)
+        self.ended = 0
+
+    async def start(
+        self, tasks: TaskGroup, answer: Callable[[Scripted, SocketStream], Awaitable[None]]
+    ) -> Scripted:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.address = ("127.0.0.1", port_of(listener))
+
+        async def serve(link: SocketStream) -> None:
+            with suppress(anyio.BrokenResourceError, anyio.EndOfStream):
+                async with link:
+                    self.lines.append(await link.receive())
+                    await answer(self, link)
+                    while True:
+                        await link.receive()
+            self.ended += 1
+
+        tasks.start_soon(listener.serve, serve)
+        return self
+
+    @property
+    def named(self) -> str:
+        return f"{self.address[0]}:{self.address[1]}"
+
+
+@pytest.mark.parametrize(
+    ("said", "comes"),
+    [
+        ([b"UP r1\r\nUP r2\r\n"], Outcome.STANDS),  # a second answer is the link's by then, as any line
+        ([b"BUSY\r\nUP r2\r\n"], Outcome.REFUSED),
+        ([b"ERR\r\n", b"UP r2\r\n"], Outcome.FAULT),
+        ([b"UP r", b"1\r\n"], Outcome.STANDS),
+        ([b"x" * 6000], Outcome.FAULT),
+        ([b"LOAD 1\r\n", b"LOAD 2\r\n", b"BYE\r\n"], Outcome.ENDED),
+    ],
+)
+def test_an_attempt_has_one_outcome_whatever_else_is_said(said: list[bytes], comes: Outcome) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        async def answer(host: Scripted, link: SocketStream) -> None:
+            for part in said:
+                await link.send(part)
+
+        host = await Scripted().start(tasks, answer)
+        alone, hand = Alone(host.named), hand_of()
+        await alone.peer.attempt(hand, now_us() + 5_000_000)
+        (told,) = [word for word in alone.words if isinstance(word, Tried)]
+        assert told.outcome is comes
+        if isinstance(hand.verdict, Delivered):
+            assert hand.verdict.line in (b"UP r1\r\n", b"BYE\r\n")
+            await hand.verdict.host.close()
+            alone.room.give()
+        await until(lambda: host.ended == 1)
+        assert alone.room.free == alone.room.most and alone.peer.trying == 0
+
+    on_loopback(body)
+
+
+@pytest.mark.parametrize("rest", [b"1\r\n", None])
+def test_an_answer_in_two_pieces_round_its_deadline_is_none(rest: bytes | None) -> None:
+    """The first piece in time, the second not, or never: whoever gets it, the client does not."""
+
+    async def body(tasks: TaskGroup) -> None:
+        given_up = anyio.Event()
+
+        async def answer(host: Scripted, link: SocketStream) -> None:
+            await link.send(b"UP r")
+            await given_up.wait()
+            if rest is not None:
+                await link.send(rest)
+
+        host = await Scripted().start(tasks, answer)
+        alone, hand = Alone(host.named), hand_of()
+        assert await alone.attempt(hand, 100_000) is Outcome.SILENT
+        given_up.set()
+        assert hand.verdict is None
+        await until(lambda: host.ended == 1)
+        assert alone.room.free == alone.room.most
+
+    on_loopback(body)
+
+
+def test_an_answer_that_comes_as_its_attempt_is_withdrawn_is_taken_or_leaves_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It lies read in this process when the attempt is broken off: one outcome, nothing left open."""
+
+    async def body(tasks: TaskGroup) -> None:
+        async def answer(host: Scripted, link: SocketStream) -> None:
+            await link.send(b"UP r1\r\n")
+
+        host = await Scripted().start(tasks, answer)
+        alone, hand = Alone(host.named), hand_of("rerun")
+        real = stream.Lines.line
+
+        async def line(lines: stream.Lines) -> Any:
+            got = await real(lines)
+            assert hand.attempt is not None
+            hand.attempt.cancel()
+            return got
+
+        monkeypatch.setattr(stream.Lines, "line", line)
+        outcome = await alone.attempt(hand)
+        assert (outcome is Outcome.STANDS) == isinstance(hand.verdict, Delivered)
+        if isinstance(hand.verdict, Delivered):
+            await hand.verdict.host.close()
+            alone.room.give()
+        await until(lambda: host.ended == 1)
+        assert alone.room.free == alone.room.most
+
+    on_loopback(body)
+
+
+def test_a_second_line_ends_the_attempt_that_is_out_and_none_follows(doors: list[Door]) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("silent", "UP r1").start(tasks, 3)
+        port = await started(tasks, hosts)
+        client = raw_client(port, line_of("a"))
+        await until(lambda: len(hosts.lines) == 1)
+        client.sendall(b"and now?\r\n")
+        assert await all_of(client) == b"ERR\r\n"
+        await until(lambda: hosts.ended == 1)
+        await at_rest(doors[0])
+        assert len(hosts.lines) == 1 and hosts.most_out == 1
+
+    on_loopback(body)
+
+
+# Many at once.
+
+
+def test_idle_clients_that_hold_all_descriptors_keep_neither_discovery_nor_operators_out(
+    doors: list[Door], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Discovery is down while they come; when it is back its news are heard, and a sound client is served."""
+    monkeypatch.setattr(node_run, "FIRST_LIST_S", 0.1)
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("UP r1").start(tasks, 2)
+        closed = socket.create_server(("127.0.0.1", 0))
+        port = closed.getsockname()[1]
+        closed.close()
+        raw = configuration(hosts.addresses[:1], port)
+        raw["limits"] = {"sockets": RESERVE + 24}
+        raw["control"] = door_address()
+        at = await serving(tasks, raw)
+        idle = [raw_client(at, b"") for _ in range(60)]
+        await until(lambda: doors[0].counters.counts["made room (silent)"] > 0)
+        assert (await call(raw["control"], "GET /ops/readiness"))[0] == 200
+        rows = [member(0, hosts.addresses[0], "terminating"), member(1, hosts.addresses[1])]
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port, reuse_port=True)
+
+        async def serve(link: SocketStream) -> None:
+            async with link:
+                await link.receive()
+                told = orjson.dumps({"revision": 5, "complete": True, "members": rows}) + b"\n"
+                await link.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                await link.send(b"%x\r\n%s\r\n" % (len(told), told))
+                await anyio.sleep_forever()
+
+        tasks.start_soon(listener.serve, serve)
+        await until(lambda: doors[0].counters.counts["list whole"] == 1)
+        for _ in range(5):
+            assert await (await opened(at)).line() == b"UP r1\r\n"
+        assert {host for host, _ in hosts.lines} == {1}
+        for client in idle:
+            client.close()
+
+    on_loopback(body)
+
+
+def test_a_herd_that_starts_at_once_is_ready_in_time(tmp_path: Path) -> None:
+    """Thirty processes on the cores there are, before a list that is out of reach."""
+
+    async def body(tasks: TaskGroup) -> None:
+        path = tmp_path / "node.json"
+        path.write_bytes(orjson.dumps(configuration(["127.0.0.1:1"], 1)))
+        began = anyio.current_time()
+        ready: list[float] = []
+
+        async def start() -> None:
+            async with process(path):
+                ready.append(anyio.current_time() - began)
+
+        async with anyio.create_task_group() as herd:
+            for _ in range(30):
+                herd.start_soon(start)
+        assert sorted(ready)[26] < 10.0
+
+    on_loopback(body)
