--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -479,6 +479,59 @@
     on_loopback(body)
 
 
+@pytest.mark.parametrize("crossing", ["start", "SIGHUP"])
+def test_a_stop_in_the_middle_of_something_else_ends_the_node_as_ever(crossing: str, tmp_path: Path) -> None:
+    """Told to end while it waits for its first list, and in one breath with a new configuration."""
+
+    async def body(tasks: TaskGroup) -> None:
+        hosts = await Hosts("late UP r1").start(tasks)
+        silent = await Scripted().start(tasks, lambda host, link: anyio.sleep_forever())
+        path = tmp_path / "node.json"
+        raw = short_lived(hosts, silent.address[1])
+        raw["settings"]["tariffs"][0]["cut_off_us"] = 2_000_000
+        raw["control"] = door_address()
+        path.write_bytes(orjson.dumps(raw))
+        event = "operators' door" if crossing == "start" else "serving"
+        async with process(path, event) as node:
+            if crossing == "start":
+                node.signal(signal.SIGTERM)
+                assert (await node.told("serving"))["hosts"] == 1
+            else:
+                waiting = await opened(node.port)
+                await until(lambda: len(hosts.lines) == 1)
+                for told in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                    node.signal(told)
+                assert await waiting.line() == b"UP r1\r\n"
+                await waiting.close()
+            await node.told("stopping")
+            await node.told("stopped")
+            assert await node.ended() == 0
+
+    on_loopback(body)
+
+
+def test_a_host_that_resets_a_standing_link_long_after_resets_its_client(doors: list[Door]) -> None:
+    async def body(tasks: TaskGroup) -> None:
+        stood = anyio.Event()
+
+        async def answer(host: Scripted, link: SocketStream) -> None:
+            await link.send(b"UP r1\r\n")
+            await stood.wait()
+            await stream.Lines(link).close(reset=True)
+
+        host = await Scripted().start(tasks, answer)
+        discovery = await Discovery([]).start(tasks)
+        port = await serving(tasks, configuration([host.named], discovery.port))
+        client = await opened(port)
+        assert await client.line() == b"UP r1\r\n"
+        stood.set()
+        assert await client.line() is stream.Ending.RESET
+        await at_rest(doors[0])
+        assert len(host.lines) == 1
+
+    on_loopback(body)
+
+
 def test_what_waits_to_be_accepted_at_the_end_is_answered_and_what_comes_later_refused(
     doors: list[Door], monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -566,7 +619,7 @@
         self.address = ("127.0.0.1", port_of(listener))
 
         async def serve(link: SocketStream) -> None:
-            with suppress(anyio.BrokenResourceError, anyio.EndOfStream):
+            with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream):
                 async with link:
                     self.lines.append(await link.receive())
                     await answer(self, link)
