Rereading: one constant and one sum for what stood twice; names that hid an import

How long a client's end is waited for stood in two files, the longest wait was reckoned in two places, a local name hid the reader of whole numbers; two comments that the formatter had broken. Behaviour is the same.

--- a/larchlatch/node/client.py
+++ b/larchlatch/node/client.py
@@ -24,7 +24,15 @@
 from larchlatch.node.wire import lines as say
 from larchlatch.node.wire import passing
 from larchlatch.node.wire.listen import stream_of
-from larchlatch.node.wire.stream import Ending, Lines, answer_at_once, overheard, see_off, waited_us
+from larchlatch.node.wire.stream import (
+    LINGER_S,
+    Ending,
+    Lines,
+    answer_at_once,
+    overheard,
+    see_off,
+    waited_us,
+)
 from larchlatch.node.words import Arrived, Left, Stood, Tried
 
 FIRST_LINE_S = 2.5  # a client is owed a word 3 s after it has connected, whatever it sends or does not
@@ -35,8 +43,7 @@
 LAG_SHARE = 10  # but no more than a tenth of a short cut-off
 MOST_EARLY = 65536  # bytes that are taken from a client before it has a host: nobody reads them until then
 CROSSING_S = 0.1  # for the line of a client that connects while this node ends: it is under way, or none
-LINGER_S = 0.5  # for a client's end after its answer: what it still sends would reset the connection
-SHORT_LINGER_S = 0.02  # the same where links want its descriptor: what has come by then is read
+SHORT_LINGER_S = 0.02  # for a client's end after its answer, where links want its descriptor
 ENDING_S = 0.25  # for the end of a resting connection then: the process is granted a moment only
 
 # Hands a standing link over to another process of this node; False where that went wrong, and the link is
@@ -242,9 +249,13 @@
             for scope in list(self.resting):
                 scope.cancel()
 
+    def wait_us(self, opening: say.Opening) -> int:
+        """How long a client is held at the most, whatever it says."""
+        return min(opening.wait_ms * 1000, self.longest_wait_us)
+
     def cut_off(self, opening: say.Opening, now: int) -> int:
         """When a link that came at this time is to have its answer."""
-        wait_us = min(opening.wait_ms * 1000, self.longest_wait_us)
+        wait_us = self.wait_us(opening)
         cut_off = now + wait_us - lag_us(wait_us)
         ends_in = self.phase.ends_in(anyio.current_time())
         return cut_off if ends_in is None else min(cut_off, now_us() + int(ends_in * 1e6))
@@ -291,7 +302,7 @@
         async with anyio.create_task_group() as tasks:
             # From the beginning: while the module's mailbox is full, its client may leave.
             tasks.start_soon(self.heed, client, hand)
-            by = hand.link.cut_off + lag_us(min(hand.opening.wait_ms * 1000, self.longest_wait_us)) // 2
+            by = hand.link.cut_off + lag_us(self.wait_us(hand.opening)) // 2
             if not self.begun(hand):
                 tasks.start_soon(self.module.submit, Arrived(hand))
             with anyio.move_on_after(seconds_until(by)) as time:
--- a/larchlatch/node/listing.py
+++ b/larchlatch/node/listing.py
@@ -23,9 +23,7 @@
 SILENCE_S = 2.6  # a watch says something whole every 2 s: a moment later it is opened anew
 CYCLE_S = 4.0  # from the last word, or the beginning of a call without one, to the next call at the most
 AGENT = catalog.Limits(0.12, 0.12, SILENCE_S)
-AGAIN_S = (
-    0.05  # the longest pause before an agent is called again; nodes that lost it together need not ask so
-)
+AGAIN_S = 0.05  # the longest pause before an agent is called again: it is this node's own, and costs nobody
 # Where it must be asked, it is one service for all nodes: calls wait their turn, and pauses double within
 # the cycle.
 SHARED = catalog.Limits(0.5, SILENCE_S, SILENCE_S)
--- a/larchlatch/node/wire/catalog.py
+++ b/larchlatch/node/wire/catalog.py
@@ -44,9 +44,7 @@
     revision: int
     whole: bool
     members: list[Member]
-    unreadable: tuple[
-        str, ...
-    ] = ()  # hosts whose entries are not as the page says: what is known of them stays
+    unreadable: tuple[str, ...] = ()  # hosts whose entries are faulty: what is known of them stays
 
 
 def address_of(text: str, where: str) -> tuple[str, int]:
@@ -94,7 +92,7 @@
     members: list[Member] = []
     faults: list[str] = []
     unreadable: list[str] = []
-    whole = need(raw, "complete", bool, where)
+    complete = need(raw, "complete", bool, where)
     for place, row in enumerate(need(raw, "members", list, where)):
         try:
             members.append(member_of(row, f"{where}.members[{place}]"))
@@ -104,8 +102,8 @@
             if isinstance(name, str):
                 unreadable.append(name)
             else:
-                whole = False  # whoever it speaks of would be taken for gone
-    return Members(need(raw, "revision", int, where), whole, members, tuple(unreadable)), faults
+                complete = False  # whoever it speaks of would be taken for gone
+    return Members(need(raw, "revision", int, where), complete, members, tuple(unreadable)), faults
 
 
 def wire_form(told: Members) -> dict[str, Any]:
@@ -148,10 +146,10 @@
     def feed(self, chunk: bytes) -> list[bytes]:
         """What has become whole: objects, and nothing (empty) for each empty line between them."""
         *lines, self.tail = (self.tail + chunk).split(b"\n")
-        whole = [piece for line in lines if (piece := self.line(line)) is not None]
+        pieces = [piece for line in lines if (piece := self.line(line)) is not None]
         if self.size + len(self.tail) > MOST:
             raise BadInput("list: too long")
-        return whole
+        return pieces
 
     def line(self, line: bytes) -> bytes | None:
         bare = line.strip()
