--- a/review/standins.py
+++ b/review/standins.py
@@ -481,6 +481,8 @@
     finally:
         for node in nodes:
             node.kill()
+            if not node.log.exists():
+                continue
             for line in node.log.read_text(errors="replace").splitlines():
                 record.add(f"log of {node.name}: {line}")
         shutil.rmtree(temporary, ignore_errors=True)
