A connection reset before the node reads from it is an ended one, and ends no node

Cause: getpeername fails on such a socket, anyio's from_socket raises ValueError, and AdminApi._accept (admin_api.py) called stream_of as an argument of start_soon: in the accept loop, outside the barrier of _serve. Ruled out with it: eviction of callers, the time-out, h11.

The same cause elsewhere: Prober (no barrier at all: it would end the node), clients (an alarm with a traceback), attempts (outcome ERROR instead of RESET), discovery (an alarm), reattach after a failed handover (an exception in the middle of it) and sessions adopted in a hot restart.

Change: stream_of returns None for an ended connection and owns the socket from its call on; LineConnection.of_socket wraps for all of them; the admin API wraps in the task of the caller, behind its barrier. send on a closed connection is False. Counters connections_lost and admin_caller_lost tell how often.

Why it works: the loop only accepts and starts tasks, and the state that raised is a value of the one function that meets it.

--- a/larchlatch/node/admin_api.py
+++ b/larchlatch/node/admin_api.py
@@ -12,13 +12,14 @@
 
 from larchlatch.node.fault_barrier import FaultBarrier
 from larchlatch.node.wire.http import next_event
-from larchlatch.node.wire.listen import AcceptError, Listener, stream_of
+from larchlatch.node.wire.listen import AcceptError, Listener
 from larchlatch.node.wire.stream import CONNECTION_ENDED_ERRORS, Ending, LineConnection
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable
 
-    from anyio.abc import SocketStream, TaskGroup
+    from anyio.abc import TaskGroup
 
     from larchlatch.node.lifecycle_state import LifecycleState
     from larchlatch.node.metrics import Counters
@@ -39,6 +40,7 @@
     """Names of the counters of the admin API."""
 
     CALLER_EVICTED = "admin_caller_evicted"  # the oldest caller was evicted for a new one
+    CALLER_LOST = "admin_caller_lost"  # a caller had ended its connection before the node could read from it
     CALL_UNFINISHED = "admin_call_unfinished"  # a call was evicted, or not complete in CALL_TIMEOUT_S
     CALL_ERROR = "admin_call_error"  # a fault of the node while it served a call
 
@@ -107,7 +109,7 @@
                 self._evict_oldest()
             scope = anyio.CancelScope()
             self._callers[scope] = None
-            tasks.start_soon(self._serve, await stream_of(sock), scope)
+            tasks.start_soon(self._serve, sock, scope)
             # `accept` does not wait while connections are queued: accepted callers are served here meanwhile.
             await anyio.lowlevel.checkpoint()
 
@@ -117,18 +119,26 @@
         oldest.cancel()
         self._counters.add(AdminCounter.CALLER_EVICTED)
 
-    async def _serve(self, stream: SocketStream, scope: anyio.CancelScope) -> None:
+    async def _serve(self, sock: socket.socket, scope: anyio.CancelScope) -> None:
         """Serve one connection until its call is answered or its scope is cancelled."""
-        connection = LineConnection(stream)
         try:
             barrier = FaultBarrier(self._counters, counter=AdminCounter.CALL_ERROR, event="admin_call_error")
             with barrier, scope:
                 scope.deadline = anyio.current_time() + CALL_TIMEOUT_S
-                await self._answer(connection)
+                await self._serve_caller(sock)
             if scope.cancelled_caught:
                 self._counters.add(AdminCounter.CALL_UNFINISHED)
         finally:
             self._callers.pop(scope, None)
+
+    async def _serve_caller(self, sock: socket.socket) -> None:
+        connection = await LineConnection.of_socket(sock)
+        if connection is None:
+            self._counters.add(AdminCounter.CALLER_LOST)
+            return
+        try:
+            await self._answer(connection)
+        finally:
             await connection.close()
 
     async def _answer(self, connection: LineConnection) -> None:
--- a/larchlatch/node/attempts.py
+++ b/larchlatch/node/attempts.py
@@ -13,7 +13,7 @@
 from larchlatch.node.messages import AttemptFinished, LoadReported, SessionAdopted
 from larchlatch.node.session_record import Delivered, Failed
 from larchlatch.node.wire import lines as wire
-from larchlatch.node.wire.dialing import Unconnected, dial, line_connection_of, send_all
+from larchlatch.node.wire.dialing import Unconnected, dial, send_all
 from larchlatch.node.wire.stream import Ending, LineConnection
 from larchlatch.policy.types import Outcome
 
@@ -183,7 +183,9 @@
             return Outcome.NOT_SENT
         if not await self._send_request(sock, record, give_up_at):
             return Outcome.CONNECT_FAILED
-        connection = await line_connection_of(sock)
+        connection = await LineConnection.of_socket(sock)
+        if connection is None:
+            return Outcome.RESET
         outcome: Outcome | None = None
         try:
             outcome = await self._read_answer(record, connection)
--- a/larchlatch/node/clients/connections.py
+++ b/larchlatch/node/clients/connections.py
@@ -13,7 +13,6 @@
 from larchlatch.node.clock import now_us
 from larchlatch.node.fault_barrier import FaultBarrier
 from larchlatch.node.wire import lines
-from larchlatch.node.wire.listen import stream_of
 from larchlatch.node.wire.raw_socket import (
     discard_and_close,
     receive_available,
@@ -46,6 +45,7 @@
     """Names of the counters of connections, except those of rejected requests."""
 
     FAILED = "connections_failed"
+    LOST = "connections_lost"  # ended by the other side before the node could read from them
     IDLE_ENDED = "idle_connections_ended"
     SHED_UNREAD = "requests_shed_unread"
 
@@ -129,16 +129,17 @@
         self.connection_count += 1
         try:
             with self._fault_barrier("connection_failed") as barrier:
-                client = LineConnection(await stream_of(sock))
-                await self._serve(client, request)
+                client = await LineConnection.of_socket(sock)
+                if client is None:
+                    self.counters.add(ConnectionCounter.LOST)
+                else:
+                    await self._serve(client, request)
             if barrier.caught and client is not None and not client.has_sent:
                 await client.send(lines.FAILED)
                 await client.finish(Ending.END)
         finally:
             if client is not None:
                 await client.close()
-            else:
-                sock.close()
             self.connection_count -= 1
             self.descriptors.release()
 
@@ -202,22 +203,36 @@
             sockets: the connections to its client and to its upstream, in this order; they are closed here.
 
         """
-        sides: list[LineConnection] = []
+        client_socket, upstream_socket = sockets
+        client: LineConnection | None = None
+        upstream: LineConnection | None = None
         try:
             with self._fault_barrier("session_adoption_failed"):
-                for sock, unread in zip(sockets, (packet.client_unread, packet.upstream_unread), strict=True):
-                    sides.append(LineConnection(await stream_of(sock)))
-                    sides[-1].feed(unread)
-                client, upstream = sides
-                await self.sessions.adopt(packet, client, upstream)
+                client = await LineConnection.of_socket(client_socket)
+                upstream = await LineConnection.of_socket(upstream_socket)
+                await self._adopt(packet, client, upstream)
         finally:
-            for side in sides:
-                await side.close(reset=side is sides[-1])
-            for sock in sockets[len(sides) :]:
+            if client is not None:
+                await client.close()
+            if upstream is not None:
+                await upstream.close(reset=True)
+            for sock in sockets:
                 sock.close()
-            for _ in sockets:
                 self.descriptors.release()
 
+    async def _adopt(
+        self, packet: SessionHandover, client: LineConnection | None, upstream: LineConnection | None
+    ) -> None:
+        """Continue a session, or end it if one of its connections (None) was reset during the handover."""
+        if client is None or upstream is None:
+            self.counters.add(ConnectionCounter.LOST)
+            if client is not None:
+                await client.close(reset=True)
+            return
+        client.feed(packet.client_unread)
+        upstream.feed(packet.upstream_unread)
+        await self.sessions.adopt(packet, client, upstream)
+
 
 def _is_one_request(data: bytes) -> bool:
     """Return whether the data is exactly one complete line and not a PING."""
--- a/larchlatch/node/wire/dialing.py
+++ b/larchlatch/node/wire/dialing.py
@@ -9,7 +9,6 @@
 
 import anyio
 
-from larchlatch.node.wire.listen import stream_of
 from larchlatch.node.wire.stream import LineConnection
 
 NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE)
@@ -61,16 +60,9 @@
 async def connect(address: tuple[str, int], within_s: float) -> LineConnection | Unconnected:
     """Connect to an address within a timeout; return the connection, or the reason why there is none."""
     sock = await dial(address, within_s)
-    return sock if isinstance(sock, Unconnected) else await line_connection_of(sock)
-
-
-async def line_connection_of(sock: socket.socket) -> LineConnection:
-    """Wrap a connected socket in a `LineConnection`; the socket is closed if that fails."""
-    try:
-        return LineConnection(await stream_of(sock))
-    except BaseException:  # cancellation included: nothing else owns the socket yet
-        sock.close()
-        raise
+    if isinstance(sock, Unconnected):
+        return sock
+    return await LineConnection.of_socket(sock) or Unconnected.CONNECT_FAILED
 
 
 async def send_all(sock: socket.socket, data: bytes) -> bool:
--- a/larchlatch/node/wire/discovery_client.py
+++ b/larchlatch/node/wire/discovery_client.py
@@ -122,7 +122,10 @@
     sock = await dial(address, timeouts.connect_s)
     if isinstance(sock, Unconnected):
         raise ConnectionError(f"no connection to {address[0]}:{address[1]} ({sock.value})")
-    async with await stream_of(sock) as stream:
+    stream = await stream_of(sock)
+    if stream is None:
+        raise ConnectionError(f"{address[0]}:{address[1]} has reset the connection")
+    async with stream:
         response = HttpGet(stream)
         await response.send_request(target, host=f"{address[0]}:{address[1]}")
         await response.read_head(timeouts.answer_s)
--- a/larchlatch/node/wire/listen.py
+++ b/larchlatch/node/wire/listen.py
@@ -112,7 +112,22 @@
                 return connection
 
 
-async def stream_of(sock: socket.socket) -> SocketStream:
-    """Wrap a connected socket in a stream that sends small writes at once (TCP_NODELAY)."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return await SocketStream.from_socket(sock)
+async def stream_of(sock: socket.socket) -> SocketStream | None:
+    """Wrap a connected socket in a stream that sends small writes at once (TCP_NODELAY).
+
+    The other side may have reset the connection at any time since it was established.
+
+    Returns:
+        The stream, which owns the socket. None if the connection has already ended; the socket is closed
+        then, as it is if the call is cancelled.
+
+    """
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return await SocketStream.from_socket(sock)
+    except (OSError, ValueError):  # anyio raises ValueError for a socket without a peer
+        sock.close()
+        return None
+    except BaseException:  # also a cancellation: nothing else owns the socket yet
+        sock.close()
+        raise
--- a/larchlatch/node/wire/stream.py
+++ b/larchlatch/node/wire/stream.py
@@ -64,6 +64,12 @@
         self.closed = False
         self.has_sent = False
 
+    @classmethod
+    async def of_socket(cls, sock: socket.socket) -> LineConnection | None:
+        """Wrap a connected socket; return None, with the socket closed, if the connection has ended."""
+        stream = await stream_of(sock)
+        return None if stream is None else cls(stream)
+
     async def receive_lines(self) -> list[bytes] | Ending:
         """Wait for at least one line; return all complete lines received, or how the connection ended."""
         if self.unread_lines:
@@ -110,8 +116,14 @@
         return descriptor, unread
 
     async def reattach(self, descriptor: int, unread: bytes) -> None:
-        """Take back a connection that `detach` gave up and that no other process has taken over."""
-        self.stream = await stream_of(socket.socket(fileno=descriptor))
+        """Take back a connection that `detach` gave up and that no other process has taken over.
+
+        If it has ended since, it stays closed here.
+        """
+        stream = await stream_of(socket.socket(fileno=descriptor))
+        if stream is None:
+            return
+        self.stream = stream
         self.closed = False
         self.feed(unread)
 
@@ -132,6 +144,8 @@
 
     async def send(self, data: bytes) -> bool:
         """Send data; return False if the connection has ended."""
+        if self.closed:
+            return False
         self.has_sent = True
         try:
             await self.stream.send(data)
@@ -158,7 +172,7 @@
 
         """
         with anyio.CancelScope(shield=True):
-            if ending is Ending.END:
+            if ending is Ending.END and not self.closed:
                 await self._linger(linger_s)
             await self.close(reset=ending is not Ending.END)
 
--- a/tests/node/test_state_handover.py
+++ b/tests/node/test_state_handover.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import socket
 from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
@@ -15,7 +14,7 @@
 
 from larchlatch.config.endpoints import EndpointEntry, EndpointList
 from larchlatch.config.upstream import UpstreamSettings
-from larchlatch.node.clients.connections import ClientConnections
+from larchlatch.node.clients.connections import ClientConnections, ConnectionCounter
 from larchlatch.node.clients.requests import RequestChecker
 from larchlatch.node.clock import now_us
 from larchlatch.node.descriptor_budget import DescriptorBudget
@@ -30,15 +29,31 @@
 from larchlatch.policy.types import Forward, Outcome, ProbeResult, Session
 from tests.support.balancer_harness import SECOND_US, SETTINGS, endpoint
 from tests.support.loopback import run_on_loopback, wait_until
+from tests.support.sockets import connect_sockets, reset_connection
 
 
-def connect_sockets() -> tuple[socket.socket, socket.socket]:
-    """Return the two ends of a new TCP connection; the first is non-blocking."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        ours = socket.create_connection(server.getsockname())
-        theirs, _ = server.accept()
-    ours.setblocking(False)
-    return ours, theirs
+def make_connections(counters: Counters, descriptors: DescriptorBudget) -> ClientConnections:
+    """Return the client connections of a node with one upstream, whose balancer actor ignores messages."""
+
+    async def post(_: object) -> None: ...
+
+    upstream_settings = UpstreamSettings(250_000, False, True, 50_000)
+    upstreams = UpstreamRegistry([], upstream_settings, descriptors, counters, post)
+    entry = EndpointEntry("s-0", ("127.0.0.1", 1), "a", 3, endpoint(0).state, 1.0, 9000)
+    upstreams.update(EndpointList(1, True, [entry]))
+    mailbox = SimpleNamespace(post=post)
+    balancer_actor: Any = SimpleNamespace(mailbox=mailbox, upstreams=upstreams, mean_setup_us=0)
+    lifecycle = LifecycleState(5.0, sessions_outlive_node=False)
+    requests = RequestChecker(
+        traffic_classes=["once"], tenants=[], max_deadline_us=3_000_000, lifecycle=lifecycle
+    )
+    return ClientConnections(balancer_actor, requests, descriptors, counters, anyio.Event(), lifecycle)
+
+
+def handover_packet(unanswered_since_us: int = 0) -> SessionHandover:
+    return SessionHandover(
+        b"OPEN id1 k1 c=once,d=9\r\n", "s-0", 1.5, unanswered_since_us, int(Outcome.RESET), b"", b""
+    )
 
 
 def test_an_adopted_session_counts_its_wait_from_the_adoption() -> None:
@@ -48,29 +63,11 @@
     """
 
     async def body(tasks: TaskGroup) -> None:
-        async def post(_: object) -> None: ...
-
-        counters, descriptors = Counters(), DescriptorBudget(64)
-        upstream_settings = UpstreamSettings(250_000, False, True, 50_000)
-        upstreams = UpstreamRegistry([], upstream_settings, descriptors, counters, post)
-        entry = EndpointEntry("s-0", ("127.0.0.1", 1), "a", 3, endpoint(0).state, 1.0, 9000)
-        upstreams.update(EndpointList(1, True, [entry]))
-        mailbox = SimpleNamespace(post=post)
-        balancer_actor: Any = SimpleNamespace(mailbox=mailbox, upstreams=upstreams, mean_setup_us=0)
-        lifecycle = LifecycleState(5.0, sessions_outlive_node=False)
-        requests = RequestChecker(
-            traffic_classes=["once"], tenants=[], max_deadline_us=3_000_000, lifecycle=lifecycle
-        )
-        connections = ClientConnections(
-            balancer_actor, requests, descriptors, counters, anyio.Event(), lifecycle
-        )
+        connections = make_connections(Counters(), DescriptorBudget(64))
         started = now_us()
         for asked_at in (started - 2 * SECOND_US, 0):
             pairs = [connect_sockets(), connect_sockets()]
-            packet = SessionHandover(
-                b"OPEN id1 k1 c=once,d=9\r\n", "s-0", 1.5, asked_at, int(Outcome.RESET), b"", b""
-            )
-            tasks.start_soon(connections.adopt, packet, [ours for ours, _ in pairs])
+            tasks.start_soon(connections.adopt, handover_packet(asked_at), [ours for ours, _ in pairs])
             await wait_until(lambda: bool(connections.sessions.established))
             [record] = connections.sessions.established.values()
             assert record.awaiting_answer_since >= started if asked_at else record.awaiting_answer_since == 0
@@ -81,6 +78,30 @@
     run_on_loopback(body)
 
 
+@pytest.mark.parametrize("reset_side", ["client", "upstream"])
+def test_a_session_whose_connection_was_reset_in_the_handover_ends_without_a_fault(reset_side: str) -> None:
+    """Guards against a reset during a handover that is reported as a fault of the successor.
+
+    The other side's connection ends in the same way, and both release their descriptors.
+    """
+
+    async def body(tasks: TaskGroup) -> None:
+        counters, descriptors = Counters(), DescriptorBudget(64)
+        connections = make_connections(counters, descriptors)
+        (ours, theirs), reset = connect_sockets(), reset_connection()
+        descriptors.reduce_capacity(-2)
+        free = descriptors.free
+        sockets = [reset, ours] if reset_side == "client" else [ours, reset]
+        await connections.adopt(handover_packet(), sockets)
+        assert counters.snapshot() == {ConnectionCounter.LOST: 1}
+        assert not connections.sessions.established and descriptors.free == free + 2
+        with pytest.raises(ConnectionResetError):
+            theirs.recv(1)
+        theirs.close()
+
+    run_on_loopback(body)
+
+
 # State that the balancer has learned.
 
 
