An error that accept reports for one connection ends no accept loop

AdminApi and ClientListener let them through to the task group, so the node would end. By the documentation of the call; not seen on sockets here, forced in the test.

Change: only errors of the listening socket itself (EBADF, EFAULT, EINVAL, ENOTSOCK) are raised; all others are AcceptError, after which the loops go on as before.

--- a/larchlatch/node/wire/listen.py
+++ b/larchlatch/node/wire/listen.py
@@ -10,15 +10,9 @@
 
 from larchlatch.errors import LarchlatchError
 
-# Temporary errors of `accept`: no descriptor or memory was free, or the client has already left.
-TRANSIENT_ERRORS = (
-    errno.EMFILE,
-    errno.ENFILE,
-    errno.ECONNABORTED,
-    errno.ENOBUFS,
-    errno.ENOMEM,
-    errno.EPROTO,
-)
+# Errors of `accept` that concern the listening socket itself. All others concern one connection, or pass:
+# Linux reports network errors of the new connection there, and a lack of descriptors or memory (accept(2)).
+LISTENING_SOCKET_ERRORS = (errno.EBADF, errno.EFAULT, errno.EINVAL, errno.ENOTSOCK)
 
 
 class AcceptError(LarchlatchError):
@@ -104,7 +98,7 @@
             except BlockingIOError:  # none is queued, or another process accepted it first
                 await anyio.wait_readable(self.sock)
             except OSError as error:
-                if error.errno not in TRANSIENT_ERRORS:
+                if error.errno is None or error.errno in LISTENING_SOCKET_ERRORS:
                     raise
                 raise AcceptError(error.errno) from None
             else:
--- /dev/null
+++ b/tests/node/test_accept_errors.py
@@ -0,0 +1,90 @@
+"""Errors of one connection in an accept loop: the loop goes on, and so does the node."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import TaskGroup
+
+from larchlatch.node.admin_api import AdminApi, AdminCounter
+from larchlatch.node.lifecycle_state import LifecycleState
+from larchlatch.node.metrics import Counters
+from larchlatch.node.wire.listen import AcceptError, Listener
+from tests.support.loopback import run_on_loopback, wait_until
+from tests.support.sockets import connect_and_reset
+
+CONNECTION_ERRORS = [
+    errno.ECONNABORTED,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+    errno.EPERM,
+    # Network errors of the new connection that accept(2) names for TCP.
+    errno.ENETDOWN,
+    errno.EPROTO,
+    errno.ENOPROTOOPT,
+    errno.EHOSTDOWN,
+    errno.ENONET,
+    errno.EHOSTUNREACH,
+    errno.EOPNOTSUPP,
+    errno.ENETUNREACH,
+]
+
+
+class FailingSocket(socket.socket):
+    """A listening socket whose `accept` fails with the given errors, in turn, and then accepts."""
+
+    def __init__(self, listening: socket.socket, *errors: int) -> None:
+        super().__init__(fileno=listening.detach())
+        self._errors = list(errors)
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if self._errors:
+            raise OSError(self._errors.pop(0), "from the test")
+        return super().accept()
+
+
+def failing_listener(*errors: int) -> Listener:
+    return Listener(FailingSocket(Listener.bind(("127.0.0.1", 0), 16).sock, *errors))
+
+
+@pytest.mark.parametrize("error", CONNECTION_ERRORS, ids=lambda error: errno.errorcode[error])
+def test_an_error_of_one_connection_leaves_the_listener_usable(error: int) -> None:
+    """Guards against a listener that takes a connection's network error for one of its own."""
+
+    async def accept() -> None:
+        listener = failing_listener(error)
+        with listener.sock, pytest.raises(AcceptError):
+            await listener.accept()
+
+    anyio.run(accept)
+
+
+def test_an_error_of_the_listening_socket_is_raised() -> None:
+    """Guards against a loop that would try for ever to accept from a socket that is closed."""
+
+    async def accept() -> None:
+        listener = failing_listener(errno.EINVAL)
+        with listener.sock, pytest.raises(OSError, match="from the test"):
+            await listener.accept()
+
+    anyio.run(accept)
+
+
+def test_callers_of_the_admin_api_are_served_after_a_network_error() -> None:
+    """Guards against a node that one caller's network error ends."""
+
+    async def body(tasks: TaskGroup) -> None:
+        counters = Counters()
+        api = AdminApi(LifecycleState(1.0, sessions_outlive_node=False), lambda: None, counters)
+        listener = failing_listener(errno.EHOSTUNREACH, errno.ENETDOWN)
+        tasks.start_soon(api.run, listener)
+        connect_and_reset(listener.address)
+        await wait_until(lambda: counters.counts[AdminCounter.CALLER_LOST] == 1)
+
+    run_on_loopback(body)
