A successor that can't be accepted at first does not end the serving process

While no descriptor is free (EMFILE), or if another process has taken the connection first (EAGAIN), accept raised and the node's task group ended. By reading; forced in the test, which fails on the code before with the OSError.

Change: the rendezvous socket is accepted from like every other listener, with a pause of 0.1 s after a failure.

--- a/larchlatch/node/hot_restart/predecessor.py
+++ b/larchlatch/node/hot_restart/predecessor.py
@@ -17,6 +17,7 @@
 from larchlatch.node.hot_restart.packets import Serving, SessionHandover, StateHandover, Welcome
 from larchlatch.node.hot_restart.rendezvous import ANSWER_TIMEOUT_S, hello_of, is_same_user, receive_within
 from larchlatch.node.wire import lines as request_lines
+from larchlatch.node.wire.listen import AcceptError, Listener
 
 if TYPE_CHECKING:
     import socket
@@ -32,6 +33,7 @@
     from larchlatch.policy.types import Outcome
 
 START_TIMEOUT_S = 30.0  # until a successor serves; after that the descriptors set aside for it are taken back
+ACCEPT_RETRY_S = 0.1  # the pause after a successor's connection could not be accepted
 
 log = structlog.get_logger()
 
@@ -231,11 +233,13 @@
 
 async def _accept_one(listening_socket: socket.socket) -> socket.socket:
     """Wait for one connection and return it; the listening socket is closed."""
+    listener = Listener(listening_socket)
     with listening_socket:
-        await anyio.wait_readable(listening_socket)
-        sock, _ = listening_socket.accept()
-    sock.setblocking(False)
-    return sock
+        while True:
+            try:
+                return await listener.accept()
+            except AcceptError:
+                await anyio.sleep(ACCEPT_RETRY_S)
 
 
 def _detach(lines: LineConnection, detached: list[DetachedConnection]) -> bool:
--- a/tests/node/test_accept_errors.py
+++ b/tests/node/test_accept_errors.py
@@ -11,6 +11,7 @@
 from anyio.abc import TaskGroup
 
 from larchlatch.node.admin_api import AdminApi, AdminCounter
+from larchlatch.node.hot_restart import predecessor
 from larchlatch.node.lifecycle_state import LifecycleState
 from larchlatch.node.metrics import Counters
 from larchlatch.node.wire.listen import AcceptError, Listener
@@ -88,3 +89,16 @@
         await wait_until(lambda: counters.counts[AdminCounter.CALLER_LOST] == 1)
 
     run_on_loopback(body)
+
+
+def test_a_successor_is_accepted_after_its_connection_could_not_be_at_first() -> None:
+    """Guards against a serving process that ends because no descriptor was free for its successor."""
+
+    async def body(tasks: TaskGroup) -> None:
+        listener = failing_listener(errno.EMFILE, errno.EAGAIN)
+        with socket.create_connection(listener.address):
+            sock = await predecessor._accept_one(listener.sock)
+            assert not sock.getblocking()
+            sock.close()
+
+    run_on_loopback(body)
