Work on a late request in the accept loop of clients stands behind the fault barrier

Change: ClientConnections.take_overdue reads and sheds behind the barrier. After a fault the client gets its one final answer, ERR, as what was read may be lost. Test: a planted ValueError ended the node before; now that client gets ERR, the next is served.

--- a/larchlatch/node/client_listener.py
+++ b/larchlatch/node/client_listener.py
@@ -8,6 +8,7 @@
 import anyio
 import anyio.lowlevel
 
+from larchlatch.node.clients.connections import Answered
 from larchlatch.node.wire.listen import AcceptError
 
 if TYPE_CHECKING:
@@ -125,8 +126,9 @@
         return sock
 
     def _start(self, sock: socket.socket) -> None:
-        request = self._connections.read_overdue(sock)
-        if request is not None and self._connections.shed_overdue(sock, request):
+        """Start a task for an accepted connection, which releases its descriptor; its request may be shed."""
+        request = self._connections.take_overdue(sock)
+        if request is Answered.ANSWERED:
             self._tasks.start_soon(self._connections.close_answered, sock)
         else:
             self._tasks.start_soon(self._connections.serve, sock, request)
--- a/larchlatch/node/clients/connections.py
+++ b/larchlatch/node/clients/connections.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
+from enum import Enum, StrEnum
 from typing import TYPE_CHECKING
 
 import structlog
@@ -50,6 +50,12 @@
     SHED_UNREAD = "requests_shed_unread"
 
 
+class Answered(Enum):
+    """Marks a request that has had its final answer before a task for it was started."""
+
+    ANSWERED = "answered"
+
+
 class ClientConnections:
     """Serves each client connection in a task of its own, and owns its socket until it is closed.
 
@@ -83,6 +89,26 @@
 
     # Requests that waited for a long time before they were read.
 
+    def take_overdue(self, sock: socket.socket) -> UnreadRequest | Answered | None:
+        """Read a request that has waited for long from an accepted connection, and shed it if it is too late.
+
+        This runs in the accept loop, so a fault of it ends only the connection that it is about.
+
+        Returns:
+            Whether the request was answered, or what was read; None if nothing was read.
+
+        """
+        request: UnreadRequest | None = None
+        with self._fault_barrier("connection_failed") as barrier:
+            request = self.read_overdue(sock)
+            if request is not None and self.shed_overdue(sock, request):
+                return Answered.ANSWERED
+        if barrier.caught:
+            # What was read may be lost, so no task could still serve the request.
+            send_last_line(sock, lines.FAILED)
+            return Answered.ANSWERED
+        return request
+
     def read_overdue(self, sock: socket.socket) -> UnreadRequest | None:
         """Read from an accepted connection if its data has waited longer than a session takes to establish.
 
@@ -113,10 +139,11 @@
         return True
 
     async def close_answered(self, sock: socket.socket) -> None:
-        """Close a connection whose request was answered by `shed_overdue`, and release its descriptor."""
+        """Close a connection whose request was answered by `take_overdue`, and release its descriptor."""
         self.connection_count += 1
         try:
-            await discard_and_close(sock, self.sessions.linger_s)
+            with self._fault_barrier("connection_failed"):
+                await discard_and_close(sock, self.sessions.linger_s)
         finally:
             self.connection_count -= 1
             self.descriptors.release()
--- a/tests/node/test_accept_errors.py
+++ b/tests/node/test_accept_errors.py
@@ -11,12 +11,17 @@
 from anyio.abc import TaskGroup
 
 from larchlatch.node.admin_api import AdminApi, AdminCounter
+from larchlatch.node.clients.connections import ClientConnections
 from larchlatch.node.hot_restart import predecessor
 from larchlatch.node.lifecycle_state import LifecycleState
 from larchlatch.node.metrics import Counters
 from larchlatch.node.wire.listen import AcceptError, Listener
+from larchlatch.policy import admission
+from tests.support.clients import open_session, read_to_end
 from tests.support.loopback import run_on_loopback, wait_until
+from tests.support.node import start_node_with
 from tests.support.sockets import connect_and_reset
+from tests.support.stand_ins import UpstreamStubs
 
 CONNECTION_ERRORS = [
     errno.ECONNABORTED,
@@ -102,3 +107,26 @@
             sock.close()
 
     run_on_loopback(body)
+
+
+def test_a_fault_in_the_accept_loop_ends_only_the_connection_that_it_is_about(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a node that ends because of one late request; that client gets its one final answer."""
+
+    def fail(connections: ClientConnections, sock: socket.socket, request: object) -> bool:
+        raise ValueError("from the test")
+
+    async def body(tasks: TaskGroup) -> None:
+        upstreams = await UpstreamStubs("UP r1").start(tasks)
+        port = await start_node_with(tasks, upstreams)
+        first = await open_session(port)
+        assert await first.line() == b"UP r1\r\n"
+        with monkeypatch.context() as patch:
+            patch.setattr(admission, "is_overdue", lambda *, waited_us, setup_us: True)
+            patch.setattr(ClientConnections, "shed_overdue", fail)
+            assert await read_to_end(await open_session(port)) == [b"ERR\r\n"]
+        later = await open_session(port)
+        assert await later.line() == b"UP r1\r\n"
+
+    run_on_loopback(body)
