A loan of a member that the cluster file no longer has runs out and is not renewed

Cause: an account whose terms stay the same is kept with its loans (SharedQuotas._updated_account); Borrower._renewals asked the removed lender, and ClusterDriver._send looked its address up: KeyError 'n2' in the heartbeat loop, as the process's log names. Ruled out by reading: gossip targets, watchers, tokens and ballots take their names from the same file in the same step.

Change: such a loan stays usable until its term ends and is not renewed. Nobody else may spend the amount before, as shares grow only a term and a window after all members use the new file; the test holds this with the quota checker.

Tests: tests/cluster/test_file_changes.py; on the code before, the first fails with "a datagram to a node that is no member". Hypothesis draws files (members, quotas, roles, electors, terms changed) and datagrams in any order besides.

--- a/larchlatch/cluster/quota/borrower.py
+++ b/larchlatch/cluster/quota/borrower.py
@@ -69,6 +69,14 @@
         self._last_number = 0
         self._pending: dict[int, PendingRequest] = {}
 
+    def apply_settings(self, settings: QuotaSettings) -> None:
+        """Use the settings of a changed cluster file.
+
+        Loans that this node has stay in its accounts. Those of a removed member end with their term, before
+        the member's share can be spent elsewhere, and are not renewed.
+        """
+        self.settings = settings
+
     def wants_loans(self, now: int) -> bool:
         """Return whether there may be a loan to request or to renew."""
         return any(account.borrowed or account.shortfall(now) for account in self._accounts.values())
@@ -122,6 +130,9 @@
         for number, loan in account.borrowed.items():
             if loan.ends_at - now > half_term_us or number in renewing:
                 continue
+            if loan.lender not in self.settings.names:
+                limit -= loan.amount
+                continue
             # A loan that is no longer needed is left to end without renewal.
             if limit - loan.amount < expected_demand:
                 drafts.append(PendingRequest(loan.lender, quota, loan.amount, asked_at=now, renews=number))
--- a/larchlatch/cluster/quota/shared_quotas.py
+++ b/larchlatch/cluster/quota/shared_quotas.py
@@ -176,7 +176,8 @@
         self.accounts.clear()
         self.accounts.update(accounts)
         self._quota_by_traffic_class = settings.quota_by_traffic_class()
-        self.settings = self._borrower.settings = settings
+        self.settings = settings
+        self._borrower.apply_settings(settings)
         self._pools.apply_settings(settings)
         self._lender.apply_settings(settings)
         self._all_agreed = False
--- /dev/null
+++ b/tests/cluster/test_file_changes.py
@@ -0,0 +1,264 @@
+"""Changes of the cluster file while requests, loans and ballots are under way, without I/O.
+
+The members read a new file one after the other, at any time, and datagrams of the former file arrive later.
+"""
+
+from __future__ import annotations
+
+import random
+from itertools import count
+from typing import Any, NamedTuple
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from larchlatch.cluster.cluster_file import ClusterConfiguration, check_transition, parse_cluster
+from larchlatch.cluster.exchange.exchange import Exchange
+from larchlatch.cluster.exchange.state import SharedState
+from larchlatch.cluster.membership.membership import Membership
+from larchlatch.cluster.quota.borrower import Borrower
+from larchlatch.emulator.unsigned_signer import UnsignedSigner, unsigned_key
+from larchlatch.errors import ConfigurationError
+from larchlatch.invariants.observations import SessionAdmitted, SessionRequested
+from larchlatch.invariants.quota_safety import QuotaSafety
+
+SECOND_US = 1_000_000
+HEARTBEAT_US = 200_000
+START_US = 1_000_000 * SECOND_US
+NAMES = "abcd"
+LIMIT = 24
+
+
+def cluster_file(
+    names: str = NAMES,
+    *,
+    quotas: tuple[str, ...] = ("all",),
+    electors: tuple[str, ...] = (),
+    role_term_ms: int = 3000,
+    **keys: Any,
+) -> ClusterConfiguration:
+    """Return a checked cluster file in which each traffic class has the name of its quota."""
+    raw: dict[str, Any] = {
+        "nodes": [
+            {"name": name, "address": f"127.0.0.1:{7000 + index}", "key": name.encode().hex() * 32}
+            for index, name in enumerate(names)
+        ],
+        "budgets": [{"name": quota, "links_per_s": LIMIT, "tariffs": [quota]} for quota in quotas],
+        **keys,
+    }
+    if electors:
+        roles = {"allot": bool(quotas), "pace": True, "term_ms": role_term_ms}
+        raw["duties"] = {"electors": list(electors), **roles}
+    return parse_cluster(raw, "cluster")
+
+
+class Member:
+    """One node with its exchange, which reads cluster files as `ClusterService.reload` does."""
+
+    def __init__(self, name: str, configuration: ClusterConfiguration, now: int) -> None:
+        self.name = name
+        self.configuration = configuration
+        rng = random.Random(name)
+        membership = Membership(
+            name,
+            configuration.sites,
+            heartbeat_us=configuration.heartbeat_us,
+            wall_us=now,
+            now_us=now,
+            rng=rng,
+        )
+        self.state = SharedState.create(
+            name,
+            configuration.quota_settings,
+            configuration.electorate,
+            max_clock_difference_us=configuration.max_clock_difference_us,
+            heartbeat_us=configuration.heartbeat_us,
+            now=now,
+            random=rng,
+        )
+        self.state.open(now)
+        keys = {other: unsigned_key(other) for other in configuration.nodes}
+        signer = UnsignedSigner(name)
+        self.exchange = Exchange(
+            membership, self.state, configuration.sites, keys, signer, signer, lambda counter: None
+        )
+
+    def read(self, configuration: ClusterConfiguration, now: int) -> None:
+        """Apply a cluster file, unless it lacks this node or can't follow the present one."""
+        try:
+            check_transition(configuration, before=self.configuration)
+        except ConfigurationError:
+            return
+        if self.name not in configuration.nodes:
+            return
+        self.configuration = configuration
+        self.exchange.apply_configuration(
+            configuration.sites,
+            {other: unsigned_key(other) for other in configuration.nodes},
+            configuration.quota_settings,
+            configuration.electorate,
+            heartbeat_us=configuration.heartbeat_us,
+            now=now,
+        )
+
+
+class InFlight(NamedTuple):
+    """A datagram on its way."""
+
+    recipient: str
+    data: bytes
+
+
+class Network:
+    """Members that exchange datagrams, which arrive when and in the order that the test chooses."""
+
+    def __init__(self, configuration: ClusterConfiguration, names: str = NAMES) -> None:
+        self.now = START_US
+        self.members = {name: Member(name, configuration, self.now) for name in names}
+        self.in_flight: list[InFlight] = []
+        self.checker = QuotaSafety(LIMIT, SECOND_US)
+        self._numbers = count()
+
+    def send(self, member: Member, datagrams: list[Any]) -> None:
+        for recipient, data in datagrams:
+            assert recipient in member.configuration.nodes, "a datagram to a node that is no member"
+            self.in_flight.append(InFlight(recipient, data))
+
+    def heartbeat(self, name: str) -> None:
+        member = self.members[name]
+        self.send(member, member.exchange.heartbeat(now=self.now, wall=self.now).datagrams)
+
+    def deliver(self, index: int) -> None:
+        if not self.in_flight:
+            return
+        recipient, data = self.in_flight.pop(index % len(self.in_flight))
+        if recipient in self.members:
+            member = self.members[recipient]
+            self.send(member, member.exchange.receive(data, now=self.now, wall=self.now).datagrams)
+
+    def request_sessions(self, name: str, number: int, traffic_class: str = "all") -> None:
+        for _ in range(number):
+            session = str(next(self._numbers))
+            if traffic_class == "all":
+                self.checker.observe(SessionRequested(self.now, session))
+            if not self.members[name].state.quotas.admit(self.now, traffic_class) and traffic_class == "all":
+                self.checker.observe(SessionAdmitted(self.now, session))
+
+    def run(self, duration_us: int, demand: dict[str, int]) -> None:
+        """Run heartbeats in turn, with all datagrams delivered at once, and a demand at some members."""
+        for _ in range(duration_us // HEARTBEAT_US):
+            ends_at = self.now + HEARTBEAT_US
+            for name in list(self.members):
+                self.heartbeat(name)
+                self.request_sessions(name, demand.get(name, 0))
+                while self.in_flight:
+                    self.deliver(0)
+                self.now += HEARTBEAT_US // len(self.members)
+            self.now = ends_at
+
+    def borrowed(self, name: str) -> dict[str, int]:
+        """Return the amounts that a member has borrowed, by lender."""
+        amounts: dict[str, int] = {}
+        for loan in self.members[name].state.quotas.accounts["all"].borrowed.values():
+            if self.now < loan.ends_at:
+                amounts[loan.lender] = amounts.get(loan.lender, 0) + loan.amount
+        return amounts
+
+
+DEMAND = {"a": 6}
+ELECTORS = ("a", "b", "c")
+
+
+def test_loan_of_a_removed_member_ends_with_its_term_and_the_quota_is_kept() -> None:
+    """A node that renews a loan with a member that its file no longer has sends to an unknown address.
+
+    The borrowed amount has to be gone before the removed member's share is spent elsewhere.
+    """
+    network = Network(cluster_file())
+    network.run(12 * SECOND_US, DEMAND)
+    assert network.borrowed("a").get("d"), "the loan that this test is about"
+    del network.members["d"]
+    read_at = network.now
+    for name in "abc":
+        network.members[name].read(cluster_file("abc"), network.now)
+        network.run(HEARTBEAT_US, DEMAND)
+    term_us = network.members["a"].configuration.quota_settings.loan_terms.term_us
+    while network.borrowed("a").get("d"):
+        network.run(HEARTBEAT_US, DEMAND)
+        assert network.now <= read_at + term_us + HEARTBEAT_US, "the loan was renewed"
+    network.run(12 * SECOND_US, DEMAND)
+    assert network.checker.verdict().holds
+    assert sum(network.borrowed("a").values()) > 0, "the node borrows from the members that are left"
+
+
+@st.composite
+def cluster_files(draw: st.DrawFn) -> ClusterConfiguration:
+    names = "".join(sorted(draw(st.sets(st.sampled_from(NAMES), min_size=1))))
+    electors: tuple[str, ...] = ()
+    if len(names) >= 3 and draw(st.booleans()):
+        electors = tuple(draw(st.permutations(names))[:3])
+    return cluster_file(
+        names,
+        quotas=draw(st.sampled_from([("all",), ("all", "more"), ("more",), ()])),
+        electors=electors,
+        term_ms=draw(st.sampled_from([3000, 3000, 1600, 9000])),
+        window_ms=draw(st.sampled_from([1000, 1000, 500])),
+        beat_ms=draw(st.sampled_from([100, 200])),
+        floor=draw(st.sampled_from([0.0, 0.5, 1.0])),
+    )
+
+
+INDEX = st.integers(0, 99)
+STEPS = st.one_of(
+    st.tuples(st.just("read"), INDEX, INDEX),
+    st.tuples(st.just("heartbeat"), INDEX, INDEX),
+    st.tuples(st.just("heartbeat"), INDEX, INDEX),
+    st.tuples(st.just("deliver"), INDEX, INDEX),
+    st.tuples(st.just("deliver"), INDEX, INDEX),
+    st.tuples(st.just("sessions"), INDEX, INDEX),
+    st.tuples(st.just("wait"), INDEX, INDEX),
+)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(
+    st.booleans(),
+    st.lists(cluster_files(), min_size=2, max_size=5),
+    st.lists(STEPS, min_size=10, max_size=150),
+)
+def test_no_sequence_of_files_and_datagrams_makes_a_member_use_one_that_it_no_longer_has(
+    has_roles: bool, files: list[ClusterConfiguration], steps: list[tuple[str, int, int]]
+) -> None:
+    """A file may remove members, quotas or roles, or change electors and terms, at any time."""
+    full = cluster_file(electors=ELECTORS if has_roles else ())
+    network = Network(full)
+    network.run(8 * SECOND_US, DEMAND)
+    for step, first, second in steps:
+        name = NAMES[first % len(NAMES)]
+        if step == "read":
+            network.members[name].read(files[second % len(files)], network.now)
+        elif step == "heartbeat":
+            network.heartbeat(name)
+        elif step == "deliver":
+            network.deliver(first)
+        elif step == "sessions":
+            for traffic_class in ("all", "more"):
+                network.request_sessions(name, second, traffic_class)
+        else:
+            network.now += second * 20_000
+    network.run(4 * SECOND_US, DEMAND)
+
+
+def test_planted_renewal_with_a_removed_member_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Shows that the tests above find the fault that they guard against."""
+
+    def keep_settings(borrower: Borrower, settings: object) -> None:
+        pass
+
+    monkeypatch.setattr(Borrower, "apply_settings", keep_settings)
+    with pytest.raises(AssertionError, match="no member"):
+        test_loan_of_a_removed_member_ends_with_its_term_and_the_quota_is_kept()
+
+
+# Terms and electors that a new file changes.
