Loan requests that are pending when the cluster file changes are given up

A grant names no file: one for a request under the former file, with a shorter term, was entered with the new, longer term, so the borrower could spend the loan after its lender had it back.

Change: Borrower.apply_settings forgets pending requests; their grants are unexpected, and the lender has the amount back after its term.

--- a/larchlatch/cluster/quota/borrower.py
+++ b/larchlatch/cluster/quota/borrower.py
@@ -76,6 +76,9 @@
         the member's share can be spent elsewhere, and are not renewed.
         """
         self.settings = settings
+        # A lender counts the term of a grant by the file under which the loan was requested, and this node
+        # would count it by the new file.
+        self._pending = {}
 
     def wants_loans(self, now: int) -> bool:
         """Return whether there may be a loan to request or to renew."""
--- a/tests/cluster/test_file_changes.py
+++ b/tests/cluster/test_file_changes.py
@@ -192,6 +192,27 @@
     assert sum(network.borrowed("a").values()) > 0, "the node borrows from the members that are left"
 
 
+def test_grant_for_a_request_under_a_former_file_with_a_shorter_term_is_not_used() -> None:
+    """A borrower that counted the new, longer term would spend the loan while its lender spends it again."""
+    network = Network(cluster_file("ab", term_ms=2000), "ab")
+    network.run(8 * SECOND_US, {})
+    network.request_sessions("a", 60)
+    network.heartbeat("a")
+    requests = [datagram for datagram in network.in_flight if datagram.recipient == "b"]
+    network.in_flight = []
+    lender, borrower = network.members["b"], network.members["a"]
+    grants = [
+        grant
+        for request in requests
+        for grant in lender.exchange.receive(request.data, now=network.now, wall=network.now).datagrams
+    ]
+    assert grants, "the grant that this test is about"
+    borrower.read(cluster_file("ab", term_ms=20_000), network.now)
+    for _, data in grants:
+        borrower.exchange.receive(data, now=network.now, wall=network.now)
+    assert not network.borrowed("a")
+
+
 @st.composite
 def cluster_files(draw: st.DrawFn) -> ClusterConfiguration:
     names = "".join(sorted(draw(st.sets(st.sampled_from(NAMES), min_size=1))))
