--- a/larchlatch/cluster/counters.py
+++ b/larchlatch/cluster/counters.py
@@ -37,6 +37,10 @@
     EJECTIONS_ADVISED = "cluster_ejections_advised"
     PROBES_ADVISED = "cluster_probes_advised"
 
+    DATAGRAM_FAILED = "cluster_datagram_failed"
+    HEARTBEAT_FAILED = "cluster_heartbeat_failed"
+    RECIPIENT_UNKNOWN = "cluster_recipient_unknown"
+
     FILE_READ = "cluster_file_read"
     FILE_REJECTED = "cluster_file_rejected"
 
--- a/larchlatch/cluster/driver.py
+++ b/larchlatch/cluster/driver.py
@@ -8,6 +8,9 @@
 import anyio
 import structlog
 
+from larchlatch.cluster.counters import ClusterCounter
+from larchlatch.node.fault_barrier import FaultBarrier
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
@@ -17,6 +20,7 @@
     from larchlatch.cluster.event_log import ClusterEventLog
     from larchlatch.cluster.exchange.exchange import Exchange
     from larchlatch.cluster.exchange.results import ExchangeResult, ExecutedOrder, OutgoingDatagram
+    from larchlatch.node.metrics import Counters
 
 SHUTDOWN_HEARTBEATS = 3  # heartbeats that announce a shutdown: single datagrams may be lost
 
@@ -43,6 +47,7 @@
         datagram_socket: DatagramSocket,
         events: ClusterEventLog,
         notifier: BalancerNotifier,
+        node_counters: Counters,
         *,
         now: Callable[[], int],
         log_orders: Callable[[list[ExecutedOrder]], None],
@@ -55,6 +60,7 @@
             datagram_socket: the socket, not bound yet.
             events: logs and counts events of the cluster.
             notifier: sends notices to the balancer.
+            node_counters: the node's counters.
             now: returns monotonic time in microseconds.
             log_orders: logs orders that this node has executed, and changes of its own roles.
 
@@ -66,6 +72,7 @@
         self._socket = datagram_socket
         self._events = events
         self._notifier = notifier
+        self._counters = node_counters
         self._now = now
         self._log_orders = log_orders
 
@@ -107,10 +114,15 @@
         while True:
             await self._socket.wait_readable()
             for data in self._socket.read_available():
-                self.apply(self._exchange.receive(data, now=self._now(), wall=wall_us()))
+                self._receive(data)
             self._events.log_unknown_version(self._exchange.unknown_version)
             await anyio.lowlevel.checkpoint()
 
+    def _receive(self, data: bytes) -> None:
+        """Handle one datagram; a fault in its handling drops it."""
+        with self._fault_barrier(ClusterCounter.DATAGRAM_FAILED):
+            self.apply(self._exchange.receive(data, now=self._now(), wall=wall_us()))
+
     async def _heartbeat_loop(self) -> None:
         while True:
             self._heartbeat()
@@ -121,6 +133,14 @@
         await anyio.sleep(self._membership.heartbeat_us / 1e6)
 
     def _heartbeat(self) -> None:
+        """Send a heartbeat; a fault ends it, and the next one follows at its usual time."""
+        with self._fault_barrier(ClusterCounter.HEARTBEAT_FAILED):
+            self._compose_heartbeat()
+
+    def _fault_barrier(self, counter: ClusterCounter) -> FaultBarrier:
+        return FaultBarrier(self._counters, counter=counter, event=counter.value)
+
+    def _compose_heartbeat(self) -> None:
         result = self._exchange.heartbeat(now=self._now(), wall=wall_us())
         self._events.log_member_changes(result.changes)
         self._log_orders([])
@@ -145,4 +165,8 @@
 
     def _send(self, datagrams: list[OutgoingDatagram]) -> None:
         for datagram in datagrams:
-            self._socket.send(datagram.data, self.nodes[datagram.recipient].address)
+            recipient = self.nodes.get(datagram.recipient)
+            if recipient is None:  # a ballot names it, or a request that was pending when the file changed
+                self._counters.add(ClusterCounter.RECIPIENT_UNKNOWN)
+                continue
+            self._socket.send(datagram.data, recipient.address)
--- a/larchlatch/cluster/service.py
+++ b/larchlatch/cluster/service.py
@@ -91,6 +91,7 @@
             self._socket,
             self._events,
             self._notifier,
+            node_counters,
             now=self.now,
             log_orders=self.log_orders,
         )
--- a/tests/loadtest/test_cluster_observer.py
+++ b/tests/loadtest/test_cluster_observer.py
@@ -21,20 +21,10 @@
 from larchlatch.invariants.scenario_checkers import ClusterCheckers
 from larchlatch.loadtest.cluster_observer import ClusterObserver
 from larchlatch.loadtest.node_log import LoggedEvent, NodeLogReader
-from larchlatch.node.messages import EjectionAdvised, SlowStartTokens
 from larchlatch.node.metrics import Counters
 from larchlatch.scenario.scenario_file import parse_scenario
 from tests.loadtest.scenarios import SHORT
-
-
-class AcceptingBalancer:
-    """A balancer that accepts everything that its cluster sends it."""
-
-    def advise_ejection(self, advice: EjectionAdvised) -> None:
-        pass
-
-    def receive_tokens(self, tokens: SlowStartTokens) -> bool:
-        return True
+from tests.support.cluster import AcceptingBalancer
 
 
 def test_events_that_the_cluster_service_logs_are_those_that_the_observer_reads(tmp_path: Path) -> None:
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -14,6 +14,7 @@
 from larchlatch.cluster.protocol.signing import Signer, Verifier
 from larchlatch.cluster.quota.loan_terms import LoanTerms
 from larchlatch.cluster.quota.settings import QuotaSettings
+from larchlatch.node.messages import EjectionAdvised, SlowStartTokens
 
 HEARTBEAT_US = 200_000
 LOAN_TERMS = LoanTerms(1_000_000, 3_000_000, 0.01)
@@ -24,10 +25,29 @@
 OTHER = {"name": "b", "address": "10.0.0.2:7400", "key": KEYS["b"].hex()}
 
 
+class AcceptingBalancer:
+    """A balancer that accepts everything that its cluster sends it."""
+
+    def advise_ejection(self, advice: EjectionAdvised) -> None:
+        pass
+
+    def receive_tokens(self, tokens: SlowStartTokens) -> bool:
+        return True
+
+
 class ManualNode:
     """One node that a test drives step by step, with its membership, its exchange and its counters."""
 
-    def __init__(self, name: str, names: str = "abcd", wall: int = WALL_US, seed: int = 1) -> None:
+    def __init__(
+        self,
+        name: str,
+        names: str = "abcd",
+        wall: int = WALL_US,
+        seed: int = 1,
+        *,
+        quota_settings: QuotaSettings | None = None,
+        electorate: Electorate | None = None,
+    ) -> None:
         self.counts: dict[str, int] = {}
         self.members = Membership(
             name,
@@ -39,8 +59,8 @@
         )
         shared = SharedState.create(
             name,
-            QuotaSettings((), tuple(names), 1.0, LOAN_TERMS, 1),
-            Electorate(),
+            quota_settings or QuotaSettings((), tuple(names), 1.0, LOAN_TERMS, 1),
+            electorate or Electorate(),
             max_clock_difference_us=0,
             heartbeat_us=HEARTBEAT_US,
             now=0,
