Every number in a datagram has bounds that the decoder checks

A member with a valid key that sent a negative member index (suspicion.py) or holder index (known_holders.py) made its receivers raise.

Change: the fields carry their bounds as msgspec constraints; a record or message beyond them is malformed: dropped and counted, with nothing of it applied. Encoded forms are unchanged.

A strategy of hypothesis draws each kind of message with any values; receiver and other members have to go on.

--- a/larchlatch/cluster/protocol/codec.py
+++ b/larchlatch/cluster/protocol/codec.py
@@ -21,7 +21,6 @@
 MAX_DATAGRAM_BYTES = 1200  # fits into one IP packet on usual paths, so that no datagram is fragmented
 DATAGRAM_OVERHEAD_BYTES = 8  # at most: the version byte, and the headers of the arrays
 MESSAGE_OVERHEAD_BYTES = 8  # of a signed message, at most: headers of array, body and signature
-MAX_VALUE = 2**62  # exclusive bound of integers in messages: the sum of two fits into 64 bits
 
 _DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
@@ -39,11 +38,9 @@
 def decode_record(body: bytes) -> NodeRecord | None:
     """Return the record in a signed message's body; None if the body is malformed."""
     try:
-        record = _record_decoder.decode(body)
+        return _record_decoder.decode(body)
     except _DECODE_ERRORS:
         return None
-    in_bounds = 0 <= record.incarnation < MAX_VALUE and 0 <= record.sequence < MAX_VALUE
-    return record if in_bounds else None
 
 
 def decode_message(body: bytes) -> DirectMessage | None:
@@ -52,8 +49,7 @@
         message: DirectMessage = _message_decoder.decode(body)
     except _DECODE_ERRORS:
         return None
-    in_bounds = all(0 <= value < MAX_VALUE for value in message.bounded_values)
-    return message if in_bounds else None
+    return message
 
 
 def encoded_size(signed: SignedMessage) -> int:
--- a/larchlatch/cluster/protocol/messages.py
+++ b/larchlatch/cluster/protocol/messages.py
@@ -2,15 +2,23 @@
 
 Each type is encoded as a msgpack array. The order of its fields, inherited ones first, and its tag are part
 of the protocol and don't change within one protocol version. Names of types and fields are not sent. Times in
-`*_us` are whole microseconds. Each `*_index` counts from 0.
+`*_us` are whole microseconds. Each `*_index` counts from 0. No number is negative.
 """
 
 from __future__ import annotations
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
+MAX_VALUE = 2**62  # exclusive bound of numbers in messages: the sum of two fits into 64 bits
+
+# The decoder rejects a message with a value outside these bounds. A member's message may have any value: its
+# signature proves who sent it, not that it is sound.
+Number = Annotated[int, msgspec.Meta(ge=0, lt=MAX_VALUE)]
+Hash = Annotated[int, msgspec.Meta(ge=0)]  # of 64 bits
+
 
 class QuotaReport(msgspec.Struct, array_like=True, frozen=True):
     """A node's report on one quota, as part of its record.
@@ -21,8 +29,8 @@
 
     """
 
-    spent: int
-    spare: int
+    spent: Number
+    spare: Number
 
 
 class HealthObservation(msgspec.Struct, array_like=True, frozen=True):
@@ -35,9 +43,9 @@
 
     """
 
-    upstream: int
-    failures: int
-    age_us: int
+    upstream: Hash
+    failures: Number
+    age_us: Number
 
 
 class Suspicion(msgspec.Struct, array_like=True, frozen=True):
@@ -50,9 +58,9 @@
 
     """
 
-    member_index: int
-    incarnation: int
-    sequence: int
+    member_index: Number
+    incarnation: Number
+    sequence: Number
 
 
 class Promise(msgspec.Struct, array_like=True, frozen=True):
@@ -66,10 +74,10 @@
 
     """
 
-    role_index: int
-    lease: int
-    holder_index: int
-    remaining_us: int
+    role_index: Number
+    lease: Number
+    holder_index: Number
+    remaining_us: Number
 
 
 class NodeRecord(msgspec.Struct, array_like=True, frozen=True):
@@ -93,12 +101,12 @@
     """
 
     name: str
-    incarnation: int
-    sequence: int
-    created_us: int
+    incarnation: Number
+    sequence: Number
+    created_us: Number
     shutting_down: bool
     direct_contacts: bytes
-    config_digest: int = 0
+    config_digest: Number = 0
     quota_reports: list[QuotaReport] = []
     health_observations: list[HealthObservation] = []
     suspicions: list[Suspicion] = []
@@ -131,16 +139,11 @@
     """
 
     sender: str
-    incarnation: int
-    request_id: int
-    created_us: int
+    incarnation: Number
+    request_id: Number
+    created_us: Number
     recipient: str
-    config_digest: int
-
-    @property
-    def bounded_values(self) -> tuple[int, ...]:
-        """Return the values that have to be within the bounds of the protocol."""
-        return self.incarnation, self.request_id
+    config_digest: Number
 
 
 class Response(msgspec.Struct, array_like=True, frozen=True):
@@ -156,13 +159,8 @@
 
     sender: str
     recipient: str
-    incarnation: int
-    request_id: int
-
-    @property
-    def bounded_values(self) -> tuple[int, ...]:
-        """Return the values that have to be within the bounds of the protocol."""
-        return self.incarnation, self.request_id
+    incarnation: Number
+    request_id: Number
 
 
 class LoanRequest(Request, array_like=True, frozen=True, tag=0):
@@ -176,13 +174,8 @@
     """
 
     quota: str
-    amount: int
-    renews: int
-
-    @property
-    def bounded_values(self) -> tuple[int, ...]:
-        """Return the values that have to be within the bounds of the protocol."""
-        return self.incarnation, self.request_id, self.amount
+    amount: Number
+    renews: Number
 
 
 class LoanGrant(Response, array_like=True, frozen=True, tag=1):
@@ -198,14 +191,9 @@
     """
 
     quota: str
-    amount: int
-    lease: int = 0
-    remaining_us: int = 0
-
-    @property
-    def bounded_values(self) -> tuple[int, ...]:
-        """Return the values that have to be within the bounds of the protocol."""
-        return self.incarnation, self.request_id, self.amount, self.lease, self.remaining_us
+    amount: Number
+    lease: Number = 0
+    remaining_us: Number = 0
 
 
 class BallotRequest(Request, array_like=True, frozen=True, tag=2):
@@ -221,16 +209,11 @@
 
     """
 
-    role_index: int
-    lease: int
-    kind: int
+    role_index: Number
+    lease: Number
+    kind: Number
     successor: str
 
-    @property
-    def bounded_values(self) -> tuple[int, ...]:
-        """Return the values that have to be within the bounds of the protocol."""
-        return self.incarnation, self.request_id, self.role_index, self.lease, self.kind
-
 
 class Vote(Response, array_like=True, frozen=True, tag=3):
     """An elector's response to a ballot.
@@ -243,15 +226,10 @@
 
     """
 
-    role_index: int
+    role_index: Number
     granted: bool
-    highest_lease: int
-    remaining_us: int
-
-    @property
-    def bounded_values(self) -> tuple[int, ...]:
-        """Return the values that have to be within the bounds of the protocol."""
-        return self.incarnation, self.request_id, self.role_index, self.highest_lease, self.remaining_us
+    highest_lease: Number
+    remaining_us: Number
 
 
 class TokenDemand(msgspec.Struct, array_like=True, frozen=True):
@@ -265,9 +243,9 @@
 
     """
 
-    upstream: int
-    budget_milli: int
-    weight_milli: int
+    upstream: Hash
+    budget_milli: Number
+    weight_milli: Number
 
 
 class TokenRequest(Request, array_like=True, frozen=True, tag=4):
@@ -284,18 +262,10 @@
 
     """
 
-    lease: int
-    issued_us: int
+    lease: Number
+    issued_us: Number
     demands: list[TokenDemand]
 
-    @property
-    def bounded_values(self) -> tuple[int, ...]:
-        """Return the values that have to be within the bounds of the protocol."""
-        demand_values = [
-            value for demand in self.demands for value in (demand.budget_milli, demand.weight_milli)
-        ]
-        return self.incarnation, self.request_id, self.lease, self.issued_us, *demand_values
-
 
 class TokenGrant(Response, array_like=True, frozen=True, tag=5):
     """The token issuer's response.
@@ -308,15 +278,10 @@
 
     """
 
-    lease: int
-    remaining_us: int
-    issued_us: int
-    upstream: int
-
-    @property
-    def bounded_values(self) -> tuple[int, ...]:
-        """Return the values that have to be within the bounds of the protocol."""
-        return self.incarnation, self.request_id, self.lease, self.remaining_us, self.issued_us
+    lease: Number
+    remaining_us: Number
+    issued_us: Number
+    upstream: Hash
 
 
 DirectMessage = LoanRequest | LoanGrant | BallotRequest | Vote | TokenRequest | TokenGrant
--- a/tests/cluster/test_datagrams.py
+++ b/tests/cluster/test_datagrams.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from larchlatch.cluster.election.electorate import QUOTA_ALLOCATOR, TOKEN_ISSUER, Electorate
 from larchlatch.cluster.membership.member import MemberState
 from larchlatch.cluster.membership.membership import MAX_CLOCK_DIFFERENCE_US
 from larchlatch.cluster.protocol.codec import (
@@ -16,15 +19,27 @@
     encode_body,
     encode_datagram,
 )
-from larchlatch.cluster.protocol.messages import Datagram, DropReason, NodeRecord, SignedMessage
+from larchlatch.cluster.protocol.messages import (
+    MAX_VALUE,
+    Datagram,
+    DropReason,
+    NodeRecord,
+    SignedMessage,
+)
 from larchlatch.cluster.protocol.signing import Signer
+from larchlatch.cluster.quota.settings import Quota, QuotaSettings
 from tests.support.cluster import (
+    HEARTBEAT_US,
+    LOAN_TERMS,
     SECRETS,
     WALL_US,
     ManualNode,
     run_heartbeats,
 )
 
+QUOTAS = QuotaSettings((Quota("all", 8, ("t",)),), ("a", "b", "c", "d"), 0.5, LOAN_TERMS, 3)
+ROLES = Electorate(("a", "b", "c"), ("a", "b", "c", "d"), (QUOTA_ALLOCATOR, TOKEN_ISSUER), digest=4)
+
 
 def test_invalid_datagram_is_dropped_and_counted_by_reason() -> None:
     """Anyone can send to the UDP port: an invalid datagram must change nothing and show up in its counter."""
@@ -96,3 +111,85 @@
             for signed in found.records + found.messages:
                 decode_record(signed.body)
                 decode_message(signed.body)
+
+
+ANY_VALUE = st.one_of(
+    st.integers(-(2**63), 2**64 - 1),
+    st.sampled_from([-1, 0, 1, 2, 3, MAX_VALUE - 1, MAX_VALUE, 2**63]),
+    st.floats(allow_nan=True),
+    st.booleans(),
+    st.none(),
+    st.text(max_size=4),
+    st.binary(max_size=4),
+    st.lists(st.integers(-1, 1), max_size=2),
+)
+SMALL = st.integers(0, 5)
+EDGES = st.sampled_from([-(2**62), -100, -5, -1, 0, 1, 100, MAX_VALUE - 1])
+NUMBER = st.one_of(SMALL, SMALL, EDGES, EDGES, ANY_VALUE)  # mostly of the right type, or nothing is read
+
+
+def rows(length: int) -> st.SearchStrategy[list[list[object]]]:
+    """Return lists of up to two rows with this number of any values."""
+    return st.lists(st.lists(NUMBER, min_size=length, max_size=length), max_size=2)
+
+
+@st.composite
+def member_messages(draw: st.DrawFn) -> list[object]:
+    """Draw the fields of a record (-1) or a direct message of each kind, as member b sends them to node a."""
+    kind = draw(st.integers(-1, 5))
+    wall = draw(st.sampled_from([WALL_US, WALL_US + 1, -1]))
+    if kind < 0:
+        head: list[object] = ["b", draw(st.sampled_from([WALL_US, WALL_US + 7])), draw(NUMBER), wall]
+        tail = [draw(st.booleans()), draw(st.binary(max_size=2)), draw(NUMBER)]
+        return [*head, *tail, draw(rows(2)), draw(rows(3)), draw(rows(3)), draw(rows(4))]
+    digest = draw(st.sampled_from([ROLES.digest, QUOTAS.digest, 5]))
+    request = [kind, "b", WALL_US, draw(NUMBER), wall, "a", digest]
+    response = [kind, "b", "a", draw(st.sampled_from([WALL_US, 1])), draw(NUMBER)]
+    quota = draw(st.sampled_from(["all", "none"]))
+    name = draw(st.sampled_from(["", "a", "b", "x"]))
+    numbers = [draw(NUMBER) for _ in range(4)]
+    return {
+        0: [*request, quota, numbers[0], numbers[1]],
+        1: [*response, quota, *numbers[:3]],
+        2: [*request, numbers[0], numbers[1], draw(st.one_of(SMALL, NUMBER)), name],
+        3: [*response, numbers[0], draw(st.booleans()), *numbers[1:3]],
+        4: [*request, *numbers[:2], draw(rows(3))],
+        5: [*response, *numbers],
+    }[kind]
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(st.lists(member_messages(), min_size=1, max_size=6))
+def test_no_message_of_a_member_with_a_valid_signature_raises(messages: list[list[object]]) -> None:
+    """The signature of a faulty member proves nothing of its values: one negative index ended its receivers.
+
+    All members must go on: the receiver, and those that it sends to afterwards.
+    """
+    nodes = [ManualNode(name, quota_settings=QUOTAS, electorate=ROLES) for name in "ac"]
+    number = run_heartbeats(nodes, 0, 3)
+    signer = Signer(SECRETS["b"])
+    for fields in messages:
+        body = msgspec.msgpack.encode(fields)
+        signed = SignedMessage(body, signer.sign(body))
+        is_record = isinstance(fields[0], str)
+        data = encode_datagram([signed] if is_record else [], [] if is_record else [signed])
+        nodes[0].exchange.receive(data, now=number * HEARTBEAT_US, wall=WALL_US)
+    run_heartbeats(nodes, number, 2)
+
+
+@pytest.mark.parametrize("value", [-1, MAX_VALUE, 2**64 - 1, 0.5, True, "1", None])
+@pytest.mark.parametrize("place", ["suspicion", "promise", "report", "observation", "time"])
+def test_record_with_an_impossible_value_is_dropped_and_counted(place: str, value: object) -> None:
+    """Each value of a record is bounded, also those in its lists; a negative index would name a member."""
+    reports = [[value, 0]] if place == "report" else []
+    observations = [[1, value, 0]] if place == "observation" else []
+    suspicions = [[value, 1, 1]] if place == "suspicion" else []
+    promises = [[0, 1, value, 1]] if place == "promise" else []
+    created_us = value if place == "time" else WALL_US
+    body = msgspec.msgpack.encode(
+        ["b", WALL_US, 1, created_us, False, b"", 1, reports, observations, suspicions, promises]
+    )
+    node = ManualNode("a")
+    data = encode_datagram([SignedMessage(body, Signer(SECRETS["b"]).sign(body))])
+    assert node.exchange.receive(data, now=0, wall=WALL_US).changes == []
+    assert node.drop_count(DropReason.MALFORMED) == 1 and node.state("b") is MemberState.UNHEARD
