An elector that reads a new file outlasts the promises that it made under the former one

Cause: Election.follow made a new ElectorSide, silent for the length of a promise by the new file; the promises under the former file, ten times as long, were forgotten.

Change: ElectorSide.follow keeps silent until the former promises have ended, over several files in a row, and keeps the highest lease number. Where the file replaces an elector, also for a promise by the former term, as the removed one's promises are unknown.

Model checker: processes read a file with another term one after the other. The old behaviour, planted, is found after 9 events: c1 reads the new file; e0 reads the new file; e0 reads the new file; time passes; c1 sends grant 1; e0 receives from c1: grant 1, and grants (twice); c1 counts the vote of e1 (twice); two candidates hold the role. With the rule, a shorter term: 200,884 states, a longer one: 176,055, both complete without a violation. The other searches have the states and depths that they had.

Not covered by any design here: an elector that restarts after it has read the file; operating-cluster.md says how long to wait.

--- a/larchlatch/cluster/election/election.py
+++ b/larchlatch/cluster/election/election.py
@@ -92,12 +92,13 @@
     def follow(self, electorate: Electorate, now: int) -> None:
         """Start over with the electorate of a changed cluster file.
 
-        Promises by electors of the previous file may still be valid. As after a start, this elector makes no
-        promise for as long as they can be, and it does not answer ballots under the previous file.
+        Promises under the previous file may still be valid. This elector makes no promise for as long as its
+        own can be, nor for as long as after a start, and it answers no ballots under the previous file.
         """
         self.electorate = electorate
         self._known_holders.follow(electorate, now)
-        self.open(now)
+        self._candidate_side.reset(electorate)
+        self._elector_side.follow(electorate, now)
 
     def begin_handover(self) -> None:
         """Hand over all roles from the next heartbeat on, as this node is shutting down."""
--- a/larchlatch/cluster/election/elector.py
+++ b/larchlatch/cluster/election/elector.py
@@ -52,6 +52,11 @@
         """Return a new elector that stays silent while promises from before its start may be valid."""
         return cls(lease_terms, now + lease_terms.startup_silence_us)
 
+    @property
+    def promises_end_at(self) -> int:
+        """Return the time at which all promises have ended that this elector made, also before its start."""
+        return max(self.opens_at, self.promise.ends_at if self.promise is not None else 0)
+
     def answer(self, now: int, candidate: CandidateId, ballot: Ballot) -> Answer | None:
         """Return the answer to a ballot; None before `opens_at`, and for a release."""
         if now < self.opens_at:
--- a/larchlatch/cluster/election/elector_side.py
+++ b/larchlatch/cluster/election/elector_side.py
@@ -13,12 +13,43 @@
 
 
 class ElectorSide:
-    """The electors of one node: one for each role, or none if the node is no elector by the cluster file."""
+    """The electors of one node: one for each role, or none if the node is no elector by the cluster file.
+
+    Attributes:
+        electorate: roles, electors and lease terms of the present cluster file.
+        electors: this node's elector of each role.
+        silent_until: end of the promises under former cluster files, before which no ballot is answered.
+
+    """
 
     def __init__(self, own_name: str, electorate: Electorate, now: int) -> None:
         self.electorate = electorate
-        roles = electorate.roles if own_name in electorate.electors else ()
-        self.electors = {role: Elector.started(electorate.lease_terms, now) for role in roles}
+        self.silent_until = 0
+        self._own_name = own_name
+        self.electors = self._started_electors(now)
+
+    def _started_electors(self, now: int) -> dict[str, Elector]:
+        roles = self.electorate.roles if self._own_name in self.electorate.electors else ()
+        return {role: Elector.started(self.electorate.lease_terms, now) for role in roles}
+
+    def follow(self, electorate: Electorate, now: int) -> None:
+        """Start over with the electorate of a changed cluster file, after all promises under former files.
+
+        The holder of such a promise may not have read the new file, and goes on using its lease, whose length
+        may be another one. The lease ends before the promise does, whatever the new file says. If an elector
+        is replaced, its promises, which are unknown here, may be the ones that matter.
+        """
+        former = self.electors
+        ends = [elector.promises_end_at for elector in former.values()]
+        if set(electorate.electors) != set(self.electorate.electors):
+            ends.append(now + self.electorate.lease_terms.promise_us)
+        self.silent_until = max([self.silent_until, *ends])
+        self.electorate = electorate
+        self.electors = self._started_electors(now)
+        for role, elector in self.electors.items():
+            elector.opens_at = max(elector.opens_at, self.silent_until)
+            if role in former:
+                elector.highest_lease = former[role].highest_lease
 
     def answer(self, now: int, role: str, candidate: CandidateId, ballot: Ballot) -> Answer | None:
         """Return the answer to a ballot for a role; None if this node is no elector or gives no answer."""
--- a/larchlatch/model_checker/candidate_events.py
+++ b/larchlatch/model_checker/candidate_events.py
@@ -144,15 +144,32 @@
         yield Transition(f"c{index} restarts", restarted)
 
 
+def candidate_file_change(system: SystemState, index: int) -> Iterator[Transition]:
+    """Yield that a candidate reads the new file: it gives up its lease, and goes on with its numbers."""
+    budget = system.budget
+    before = system.candidates[index]
+    if not budget.file_changes or before.has_new_file:
+        return
+    after = idle_candidate(before.incarnation)._replace(
+        lease=before.lease, round_number=before.round_number, has_new_file=True
+    )
+    remaining_budget = budget._replace(file_changes=budget.file_changes - 1)
+    candidates = replace_item(system.candidates, index, after)
+    yield Transition(
+        f"c{index} reads the new file",
+        system.without_votes_for(index)._replace(candidates=candidates, budget=remaining_budget),
+    )
+
+
 def _after_sending(
     system: SystemState, index: int, candidate: Candidate, ballots: Sequence[Ballot], budget: EventBudget
 ) -> SystemState:
     """Return the system's state with the changed candidate and its ballots in transit to all electors."""
     before = system.candidates[index]
-    after = candidate_process(candidate, before.incarnation)
+    after = candidate_process(candidate, before)
     if after.round_number != before.round_number or after.state is CandidateState.IDLE:
         system = system.without_votes_for(index)
-    sent = ballots_in_transit(ballots, index, before.incarnation)
+    sent = ballots_in_transit(ballots, index, before)
     electors = system.electors
     if sent:
         electors = tuple(
--- a/larchlatch/model_checker/cases.py
+++ b/larchlatch/model_checker/cases.py
@@ -7,6 +7,7 @@
 from larchlatch.model_checker.rules import (
     FAST,
     LEASE_TERMS,
+    SHORT_LEASE_TERMS,
     SLOW,
     ClockRates,
     ProtocolRules,
@@ -53,6 +54,18 @@
         EventBudget(ticks=4, rounds=1, orders=1, elector_restarts=1),
         begins_with_holder=True,
     ),
+    SearchCase(
+        "a file with a shorter term is read",
+        ProtocolRules(new_lease_terms=SHORT_LEASE_TERMS),
+        EventBudget(ticks=3, rounds=1, renewals=1, file_changes=4),
+        begins_with_holder=True,
+    ),
+    SearchCase(
+        "a file with a longer term is read",
+        ProtocolRules(lease_terms=SHORT_LEASE_TERMS, new_lease_terms=LEASE_TERMS),
+        EventBudget(ticks=4, rounds=1, file_changes=4),
+        begins_with_holder=True,
+    ),
 )
 # Correct rules, with budgets for which a search takes minutes.
 DEEP_CASES = (
@@ -121,6 +134,12 @@
         ProtocolRules(releases_after_orders=False),
         EventBudget(orders=2, handovers=1),
     ),
+    SearchCase(
+        "an elector outlasts only promises by the new file",
+        ProtocolRules(new_lease_terms=SHORT_LEASE_TERMS, outlasts_former_promises=False),
+        EventBudget(ticks=2, rounds=1, file_changes=3),
+        begins_with_holder=True,
+    ),
 )
 # Rules with one planted fault each, for which a search takes minutes.
 DEEP_PLANTED_FAULTS = (
--- a/larchlatch/model_checker/processes.py
+++ b/larchlatch/model_checker/processes.py
@@ -25,7 +25,6 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from larchlatch.cluster.election.lease_terms import LeaseTerms
     from larchlatch.model_checker.rules import ProtocolRules
 
 NOW = 0
@@ -61,14 +60,14 @@
 # Electors.
 
 
-def elector_of(state: ElectorState, lease_terms: LeaseTerms) -> Elector:
+def elector_of(state: ElectorState, rules: ProtocolRules) -> Elector:
     """Return the elector that corresponds to its state in the model."""
     promise = None
     if state.holder != NOBODY:
         holder = CandidateId(candidate_name(state.holder), state.holder_incarnation)
         promise = Promise(state.lease, holder, state.promise_left)
     return Elector(
-        lease_terms,
+        rules.terms_of(has_new_file=state.has_new_file),
         opens_at=state.opens_in,
         promise=promise,
         highest_lease=state.highest_lease,
@@ -123,7 +122,7 @@
     }
     return ModelCandidate(
         [elector_name(place) for place in range(rules.elector_count)],
-        rules.lease_terms,
+        rules.terms_of(has_new_file=process.has_new_file),
         lambda low, _high: low,
         state=process.state,
         lease=process.lease,
@@ -133,17 +132,19 @@
         round_number=process.round_number,
         asked_at=process.asked_at,
         granted_by=granted_by,
-        highest_lease=_majority_highest_lease(system, rules.required_votes),
+        highest_lease=_majority_highest_lease(
+            system, rules.required_votes, has_new_file=process.has_new_file
+        ),
         required_votes=rules.required_votes,
     )
 
 
-def candidate_process(candidate: Candidate, incarnation: int) -> CandidateProcess:
-    """Return the model's state of a candidate."""
+def candidate_process(candidate: Candidate, before: CandidateProcess) -> CandidateProcess:
+    """Return the model's state of a candidate, with the incarnation and the file of its state before."""
     holds = candidate.state is CandidateState.HOLDING
     idle = candidate.state is CandidateState.IDLE
     return CandidateProcess(
-        incarnation,
+        before.incarnation,
         candidate.state,
         candidate.lease,
         lease_left=candidate.lease_ends_at if holds else 0,
@@ -151,15 +152,20 @@
         successor=candidate_index(candidate.successor),
         round_number=candidate.round_number,
         asked_at=LONG_AGO if idle else candidate.asked_at,
+        has_new_file=before.has_new_file,
     )
 
 
-def _majority_highest_lease(system: SystemState, required_votes: int) -> int:
+def _majority_highest_lease(system: SystemState, required_votes: int, *, has_new_file: bool) -> int:
     """Return the lowest value that a candidate can learn from a majority as the highest lease number.
 
-    0 if fewer electors than the required votes answer ballots.
+    0 if fewer electors than the required votes answer ballots under the candidate's file.
     """
-    reported = sorted(elector.highest_lease for elector in system.electors if not elector.opens_in)
+    reported = sorted(
+        elector.highest_lease
+        for elector in system.electors
+        if not elector.opens_in and elector.has_new_file is has_new_file
+    )
     return reported[required_votes - 1] if len(reported) >= required_votes else 0
 
 
@@ -167,17 +173,18 @@
 
 
 def ballots_in_transit(
-    ballots: Sequence[Ballot], sender: int, incarnation: int
+    ballots: Sequence[Ballot], sender: int, process: CandidateProcess
 ) -> tuple[BallotInTransit, ...]:
     """Return the model's ballots in transit for the ballots that a candidate sends."""
     return tuple(
         BallotInTransit(
             sender,
-            incarnation,
+            process.incarnation,
             ballot.lease,
             ballot.kind.value,
             ballot.round_number,
             candidate_index(ballot.successor),
+            process.has_new_file,
         )
         for ballot in ballots
     )
--- a/larchlatch/model_checker/rules.py
+++ b/larchlatch/model_checker/rules.py
@@ -14,6 +14,7 @@
 # three ticks by the slow clock, and its promise three ticks by the fast one: rounding favours neither side.
 LEASE_TERMS = LeaseTerms(term_us=18, skew=0.25, rounds=2)
 FAST, SLOW = 10, 6
+SHORT_LEASE_TERMS = LEASE_TERMS._replace(term_us=6)  # a third of the usual term: one tick
 LONG_AGO = -2 * LEASE_TERMS.term_us  # anything older than two terms has ended by every clock
 
 
@@ -51,8 +52,11 @@
     Attributes:
         elector_count: number of electors.
         lease_terms: lengths of a lease and of a promise, in the model's units.
+        new_lease_terms: the same by the new cluster file, which the processes read one after the other.
         majority: function from the number of electors to the number of votes that a candidate needs.
         silent_after_start: whether an elector answers no ballot while earlier promises may last.
+        outlasts_former_promises: whether an elector that reads the new file answers no ballot while its
+            promises under the former file last.
         term_from_request: whether a term is counted from the request for votes, not from the last answer.
         receivers_compare_leases: whether a receiver refuses an order after one with a higher lease number.
         releases_after_orders: whether a holder that resigns releases the role after its orders have ended.
@@ -65,8 +69,10 @@
 
     elector_count: int = 3
     lease_terms: LeaseTerms = LEASE_TERMS
+    new_lease_terms: LeaseTerms = LEASE_TERMS
     majority: Callable[[int], int] = more_than_half
     silent_after_start: bool = True
+    outlasts_former_promises: bool = True
     term_from_request: bool = True
     receivers_compare_leases: bool = True
     releases_after_orders: bool = True
@@ -78,3 +84,7 @@
     def required_votes(self) -> int:
         """Return the number of votes that a candidate needs."""
         return self.majority(self.elector_count)
+
+    def terms_of(self, *, has_new_file: bool) -> LeaseTerms:
+        """Return the lease terms of a process, by the cluster file that it uses."""
+        return self.new_lease_terms if has_new_file else self.lease_terms
--- a/larchlatch/model_checker/state.py
+++ b/larchlatch/model_checker/state.py
@@ -36,6 +36,7 @@
         kind: value of the ballot's `BallotKind`; not the member itself, which cannot be sorted.
         round_number: number of the candidate's round.
         successor: index of the candidate for which the electors reserve a released role, or NOBODY.
+        under_new_file: whether the candidate used the new cluster file at the time of sending.
 
     """
 
@@ -45,6 +46,7 @@
     kind: int
     round_number: int
     successor: int
+    under_new_file: bool = False
 
 
 class ElectorState(NamedTuple):
@@ -61,6 +63,7 @@
         reservation_left: time until that reservation ends.
         ballots: ballots that are in transit to the elector.
         votes: progress of the elector's vote for each candidate.
+        has_new_file: whether the elector has read the new cluster file.
 
     """
 
@@ -74,6 +77,7 @@
     reservation_left: int = 0
     ballots: tuple[BallotInTransit, ...] = ()
     votes: tuple[VoteProgress, ...] = ()
+    has_new_file: bool = False
 
 
 class CandidateProcess(NamedTuple):
@@ -88,6 +92,7 @@
         successor: index of the candidate for which the electors then reserve the role, or NOBODY.
         round_number: number of the latest ballot round.
         asked_at: start of the latest ballot round; 0 or negative, as it is not in the future.
+        has_new_file: whether the candidate has read the new cluster file.
 
     """
 
@@ -99,6 +104,7 @@
     successor: int
     round_number: int
     asked_at: int
+    has_new_file: bool = False
 
 
 class ReceiverState(NamedTuple):
@@ -144,6 +150,7 @@
     candidate_restarts: int = 0
     orders: int = 0
     handovers: int = 0
+    file_changes: int = 0  # electors and candidates that read the new cluster file
 
 
 class SystemState(NamedTuple):
--- a/larchlatch/model_checker/transitions.py
+++ b/larchlatch/model_checker/transitions.py
@@ -1,7 +1,8 @@
 """Initial states of the model, and all events that may happen next in a state.
 
 Messages may be lost, duplicated and reordered, electors and candidates may restart, each process may be
-suspended for any time, and clocks are a quarter fast or slow.
+suspended for any time, and clocks are a quarter fast or slow. The processes may read a new cluster file with
+other lease terms and the same electors, one after the other, in any order.
 
 The model leaves out events on which no violation depends. A pre-vote, which changes no elector's state,
 succeeds at once, with the lowest lease number that a majority can report. Refusals, and votes that a
@@ -15,8 +16,13 @@
 
 from larchlatch.cluster.election.candidate import CandidateState
 from larchlatch.cluster.election.fencing import FencingGuard
-from larchlatch.model_checker.candidate_events import candidate_actions, candidate_restarts, vote_arrivals
-from larchlatch.model_checker.elector_events import ballot_arrivals, elector_restart
+from larchlatch.model_checker.candidate_events import (
+    candidate_actions,
+    candidate_file_change,
+    candidate_restarts,
+    vote_arrivals,
+)
+from larchlatch.model_checker.elector_events import ballot_arrivals, elector_file_change, elector_restart
 from larchlatch.model_checker.processes import idle_candidate
 from larchlatch.model_checker.rules import LONG_AGO, ClockRates, ProtocolRules
 from larchlatch.model_checker.state import (
@@ -87,10 +93,12 @@
         yield Transition("time passes", _after_tick(system, rules.clock_rates))
     for index in range(CANDIDATES):
         yield from candidate_actions(system, index, rules)
+        yield from candidate_file_change(system, index)
     for index in range(rules.elector_count):
         yield from ballot_arrivals(system, index, rules)
         yield from vote_arrivals(system, index, rules)
         yield from elector_restart(system, index, rules)
+        yield from elector_file_change(system, index, rules)
     for order in system.orders:
         yield from _order_arrival(system, order, rules)
     yield from candidate_restarts(system)
--- a/tests/cluster/test_file_changes.py
+++ b/tests/cluster/test_file_changes.py
@@ -283,3 +283,64 @@
 
 
 # Terms and electors that a new file changes.
+
+
+def holders(network: Network, role_index: int) -> list[str]:
+    """Return the members that hold a role now, by their own clocks."""
+    return [
+        name
+        for name, member in network.members.items()
+        if role_index < len(member.configuration.electorate.roles)
+        and member.state.election.order_permit(
+            network.now, member.configuration.electorate.roles[role_index]
+        ).lease
+    ]
+
+
+def role_file(term_ms: int, **keys: Any) -> ClusterConfiguration:
+    return cluster_file("abc", electors=ELECTORS, role_term_ms=term_ms, **keys)
+
+
+@pytest.mark.parametrize("late_us", [2 * SECOND_US, 8 * SECOND_US, 20 * SECOND_US, 40 * SECOND_US])
+def test_shorter_term_read_one_after_the_other_gives_no_second_holder(late_us: int) -> None:
+    """An elector that outlasts only the new term promises the role while the former lease is in use."""
+    network = Network(role_file(30_000), "abc")
+    while not holders(network, 0):
+        network.run(SECOND_US, {})
+        assert network.now < START_US + 120 * SECOND_US
+    [holder] = holders(network, 0)
+    for name in "abc":
+        if name != holder:
+            network.members[name].read(role_file(3000), network.now)
+    for elapsed in range(0, 60 * SECOND_US, HEARTBEAT_US):
+        if elapsed == late_us:
+            network.members[holder].read(role_file(3000), network.now)
+        network.run(HEARTBEAT_US, {})
+        assert len(holders(network, 0)) <= 1, "two members hold the role"
+    assert len(holders(network, 0)) == 1, "the role stays vacant"
+
+
+@pytest.mark.parametrize("new_term_ms", [1600, 30_000])
+@pytest.mark.parametrize("removed", ELECTORS)
+def test_replaced_elector_and_another_term_give_no_second_holder(removed: str, new_term_ms: int) -> None:
+    """The promises of the removed elector, which is stopped before, may be half of those of the holder."""
+    for late in ELECTORS:
+        network = Network(cluster_file(electors=ELECTORS, role_term_ms=12_000))
+        while not holders(network, 0):
+            network.run(SECOND_US, {})
+        holder = holders(network, 0)[0]
+        if removed in (late, holder):
+            continue
+        del network.members[removed]
+        electors = tuple(sorted({*ELECTORS, "d"} - {removed}))
+        changed = cluster_file(electors=electors, role_term_ms=new_term_ms)
+        for name, member in network.members.items():
+            if name not in (late, holder):
+                member.read(changed, network.now)
+        for _ in range(60 * SECOND_US // HEARTBEAT_US):
+            network.run(HEARTBEAT_US, {})
+            assert len(holders(network, 0)) <= 1, "two members hold the role"
+        for member in network.members.values():
+            member.read(changed, network.now)
+        network.run(60 * SECOND_US, {})
+        assert len(holders(network, 0)) == 1, "the role stays vacant"
--- a/tests/model_checker/test_search.py
+++ b/tests/model_checker/test_search.py
@@ -14,12 +14,15 @@
     "orders and a hand-over": (177_793, 20),
     "a candidate restarts": (81_676, 20),
     "an elector restarts": (59_947, 16),
+    "a file with a shorter term is read": (200_884, 22),
+    "a file with a longer term is read": (176_055, 17),
     "an elector votes directly after its start": (1_773, 11),
     "a term is counted from the answer": (1_811, 9),
     "receivers do not compare lease numbers": (7_884, 12),
     "half of the electors are enough": (477, 10),
     "promises last no longer than the term": (62, 7),
     "a role is released while orders are valid": (46_880, 16),
+    "an elector outlasts only promises by the new file": (2_059, 9),
 }
 
 
