Ballot rounds and leases keep their numbers over a change of the cluster file

A vote names its round alone. A new file made new candidates whose rounds began at 1 again, so a late vote under the former file counted for a ballot under the new one, and could be half of a false majority; with roles added or removed even for another role, whose index is the same.

Change: CandidateSide.reset goes on with the numbers.

--- a/larchlatch/cluster/election/candidate_side.py
+++ b/larchlatch/cluster/election/candidate_side.py
@@ -63,13 +63,29 @@
         self._last_heartbeat_at = now
         self._late_heartbeats: deque[int] = deque(maxlen=LATE_HEARTBEATS_TO_RESIGN)
         self._events: list[RoleEvent] = []
+        self._last_round = 0
+        self._last_leases: dict[str, int] = {}
+        self.candidates: dict[str, Candidate] = {}
         self.reset(electorate)
 
     def reset(self, electorate: Electorate) -> None:
-        """Start new candidacies for the roles of an electorate; this node then holds no role."""
+        """Start new candidacies for the roles of an electorate; this node then holds no role.
+
+        Numbers of rounds and leases are not used again: a vote names its round alone, and may be for a ballot
+        under the previous electorate, where the role's index can be that of another role here.
+        """
+        self._last_leases |= {role: candidate.lease for role, candidate in self.candidates.items()}
+        rounds = [candidate.round_number for candidate in self.candidates.values()]
+        self._last_round = max([self._last_round, *rounds])
         self.electorate = electorate
         self.candidates = {
-            role: Candidate(electorate.electors, electorate.lease_terms, self.uniform)
+            role: Candidate(
+                electorate.electors,
+                electorate.lease_terms,
+                self.uniform,
+                lease=self._last_leases.get(role, 0),
+                round_number=self._last_round,
+            )
             for role in electorate.roles
         }
         self._held = dict.fromkeys(electorate.roles, False)
--- a/tests/cluster/test_file_changes.py
+++ b/tests/cluster/test_file_changes.py
@@ -14,9 +14,12 @@
 from hypothesis import strategies as st
 
 from larchlatch.cluster.cluster_file import ClusterConfiguration, check_transition, parse_cluster
+from larchlatch.cluster.election.election import Election
 from larchlatch.cluster.exchange.exchange import Exchange
 from larchlatch.cluster.exchange.state import SharedState
 from larchlatch.cluster.membership.membership import Membership
+from larchlatch.cluster.protocol.headers import RequestOrigin
+from larchlatch.cluster.protocol.messages import Vote
 from larchlatch.cluster.quota.borrower import Borrower
 from larchlatch.emulator.unsigned_signer import UnsignedSigner, unsigned_key
 from larchlatch.errors import ConfigurationError
@@ -320,6 +323,24 @@
     assert len(holders(network, 0)) == 1, "the role stays vacant"
 
 
+def test_vote_under_a_former_file_does_not_count_for_a_later_round() -> None:
+    """A vote names only its round: with numbers that start again, it would count for another lease."""
+    electorate = role_file(3000).electorate
+    election = Election("a", electorate, HEARTBEAT_US, START_US, random.Random(1))
+    election.open(START_US)
+    origin = RequestOrigin("a", START_US, START_US)
+    now = START_US + 30 * SECOND_US
+    requests = election.tick(now, origin, {}, {})
+    first = next(request for request in requests if request.recipient == "b")
+    changed = role_file(4000).electorate
+    election.follow(changed, now)
+    later = now + 60 * SECOND_US
+    second = next(r for r in election.tick(later, origin, {}, {}) if r.recipient == "b")
+    assert (second.role_index, second.config_digest) == (first.role_index, changed.digest)
+    late_vote = Vote("b", "a", START_US, first.request_id, first.role_index, True, 0, 0)
+    assert not election.expects_vote(late_vote)
+
+
 @pytest.mark.parametrize("new_term_ms", [1600, 30_000])
 @pytest.mark.parametrize("removed", ELECTORS)
 def test_replaced_elector_and_another_term_give_no_second_holder(removed: str, new_term_ms: int) -> None:
