A cluster file that is read in a process that may not spend opens no account

In a hot restart one process of a node spends; a SIGHUP with other terms, or with a new quota, made new accounts in the other one too, and opened them at once: both spent the node's share.

Change: SharedQuotas knows whether it is closed; accounts that a file adds are opened with the others. Test: before, a process that was never opened, and one that had handed over, admitted sessions after such a file (admit returned 0).

--- a/larchlatch/cluster/quota/shared_quotas.py
+++ b/larchlatch/cluster/quota/shared_quotas.py
@@ -93,6 +93,7 @@
         self._pools = QuotaPools(settings)
         self._lender = Lender(own_name, settings, self.accounts, self._pools)
         self._all_agreed = False  # whether all members have once agreed on this cluster file
+        self._closed = True  # whether another process of this node may be spending
 
     def admit(self, now: int, traffic_class: str) -> int:
         """Admit one session of a traffic class; return 0, or the microseconds after which to retry."""
@@ -192,7 +193,8 @@
         # The recent use is counted in windows of the former length. In windows of the new length it is
         # unknown, as after a start.
         account = QuotaAccount(share, settings.loan_terms, now)
-        account.open(now)
+        if not self._closed:
+            account.open(now)
         if former is not None:
             account.full_share_at = max(account.full_share_at, now + former.loan_terms.recovery_us)
         return account
@@ -210,11 +212,13 @@
 
     def open(self, now: int) -> None:
         """Allow this process to spend; no other process of this node may do so now."""
+        self._closed = False
         for account in self.accounts.values():
             account.open(now)
 
     def close(self, now: int) -> dict[str, int]:
         """Stop spending; return the sessions admitted under each quota in the last window, by its name."""
+        self._closed = True
         return {name: account.close(now) for name, account in self.accounts.items()}
 
     def take_over(self, now: int, used: Mapping[str, int]) -> None:
@@ -225,6 +229,7 @@
             used: sessions that the predecessor admitted in its last window, by the name of the quota.
 
         """
+        self._closed = False
         for name, account in self.accounts.items():
             if name in used:
                 account.take_over(now, used[name])
--- a/tests/cluster/test_file_changes.py
+++ b/tests/cluster/test_file_changes.py
@@ -21,6 +21,7 @@
 from larchlatch.cluster.protocol.headers import RequestOrigin
 from larchlatch.cluster.protocol.messages import Vote
 from larchlatch.cluster.quota.borrower import Borrower
+from larchlatch.cluster.quota.shared_quotas import SharedQuotas
 from larchlatch.emulator.unsigned_signer import UnsignedSigner, unsigned_key
 from larchlatch.errors import ConfigurationError
 from larchlatch.invariants.observations import SessionAdmitted, SessionRequested
@@ -341,6 +342,20 @@
     assert not election.expects_vote(late_vote)
 
 
+def test_file_read_before_a_process_may_spend_does_not_open_its_accounts() -> None:
+    """In a hot restart the predecessor spends until it hands over, also if the file changes its terms."""
+    quotas = SharedQuotas("a", cluster_file("ab").quota_settings, HEARTBEAT_US, START_US, random.Random(1))
+    quotas.apply_settings(cluster_file("ab", term_ms=5000, quotas=("all", "more")).quota_settings, START_US)
+    later = START_US + 60 * SECOND_US
+    assert quotas.admit(later, "all") and quotas.admit(later, "more")
+    quotas.open(later)
+    assert not quotas.admit(later + 2 * SECOND_US, "all")
+    assert not quotas.admit(later + 2 * SECOND_US, "more")
+    quotas.close(later + 3 * SECOND_US)
+    quotas.apply_settings(cluster_file("ab", term_ms=6000).quota_settings, later + 4 * SECOND_US)
+    assert quotas.admit(later + 60 * SECOND_US, "all")
+
+
 @pytest.mark.parametrize("new_term_ms", [1600, 30_000])
 @pytest.mark.parametrize("removed", ELECTORS)
 def test_replaced_elector_and_another_term_give_no_second_holder(removed: str, new_term_ms: int) -> None:
