With other loan terms a new floor is not spent while a part of it is lent by the former ones

A file with other terms made a new account with the new share and floor at once, and forgot what a file before the last one had lent for longer. With a higher floor in the same file, the node spent what others had still borrowed by the former file.

Change: such an account starts with the smaller of both shares and floors, and gets the new share like every other: once all members use the file, and after every loan by former terms has ended, over several files in a row.

Tests: one targeted, and a property over drawn files (term, floor, roles) read at any time with half of the datagrams late, judged by the quota checker and by the holders of both roles.

--- a/larchlatch/cluster/quota/account.py
+++ b/larchlatch/cluster/quota/account.py
@@ -235,6 +235,11 @@
 
     # A new cluster file.
 
+    def loans_end_at(self, now: int) -> int:
+        """Return the time at which every loan of this node's share has ended that was made until now."""
+        self._advance(now)
+        return max(self.full_share_at, self.now + self.loan_terms.recovery_us)
+
     def change_share(self, share: QuotaShare) -> None:
         """Change the share: a reduction applies at once, an increase once no node uses the former file."""
         # Nodes read a new file one after the other. If an increase applied at once, it would be spent while
@@ -260,4 +265,5 @@
         if not all_agree:
             self.next_share_at = None
         elif self.next_share is not None and self.next_share_at is None:
-            self.next_share_at = self.now + self.loan_terms.recovery_us
+            # Loans by longer terms of a former file may end later.
+            self.next_share_at = max(self.now + self.loan_terms.recovery_us, self.full_share_at)
--- a/larchlatch/cluster/quota/shared_quotas.py
+++ b/larchlatch/cluster/quota/shared_quotas.py
@@ -94,6 +94,8 @@
         self._lender = Lender(own_name, settings, self.accounts, self._pools)
         self._all_agreed = False  # whether all members have once agreed on this cluster file
         self._closed = True  # whether another process of this node may be spending
+        # Time at which all loans under former cluster files have ended, here and at other nodes.
+        self._former_loans_end_at = now
 
     def admit(self, now: int, traffic_class: str) -> int:
         """Admit one session of a traffic class; return 0, or the microseconds after which to retry."""
@@ -173,6 +175,8 @@
 
     def apply_settings(self, settings: QuotaSettings, now: int) -> None:
         """Use the quotas of a changed cluster file."""
+        ends = [account.loans_end_at(now) for account in self.accounts.values()]
+        self._former_loans_end_at = max([self._former_loans_end_at, *ends])
         accounts = {quota.name: self._updated_account(quota, settings, now) for quota in settings.quotas}
         self.accounts.clear()
         self.accounts.update(accounts)
@@ -191,12 +195,13 @@
             former.change_share(share)
             return former
         # The recent use is counted in windows of the former length. In windows of the new length it is
-        # unknown, as after a start.
-        account = QuotaAccount(share, settings.loan_terms, now)
+        # unknown, as after a start. Loans go on by their former terms at nodes that have not read the file.
+        account = QuotaAccount(share if former is None else former.share, settings.loan_terms, now)
         if not self._closed:
             account.open(now)
+        account.full_share_at = max(account.full_share_at, self._former_loans_end_at)
         if former is not None:
-            account.full_share_at = max(account.full_share_at, now + former.loan_terms.recovery_us)
+            account.change_share(share)
         return account
 
     def compare_digests(self, now: int, digests: Sequence[int | None]) -> None:
--- a/tests/cluster/test_file_changes.py
+++ b/tests/cluster/test_file_changes.py
@@ -356,6 +356,57 @@
     assert quotas.admit(later + 60 * SECOND_US, "all")
 
 
+def test_higher_floor_with_another_term_is_not_spent_while_a_part_of_it_is_lent() -> None:
+    """The borrowers go on by the former file: a part of the new floor is still theirs."""
+    network = Network(cluster_file("abc", term_ms=9000, floor=0.25), "abc")
+    network.run(24 * SECOND_US, {"b": 6})
+    assert network.borrowed("b").get("a"), "the loan that this test is about"
+    network.members["a"].read(cluster_file("abc", term_ms=3000, floor=1.0), network.now)
+    network.run(8 * SECOND_US, {"a": 6, "b": 6, "c": 6})
+    assert network.checker.verdict().holds
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.sampled_from([1600, 3000, 9000]), st.sampled_from([0.0, 0.5, 1.0]), st.booleans()),
+        min_size=1,
+        max_size=4,
+    ),
+    st.lists(st.tuples(st.sampled_from("abc"), INDEX, st.integers(0, 30)), max_size=12),
+    st.integers(0, 10**6),
+)
+def test_no_order_of_files_with_other_terms_exceeds_the_quota_or_gives_two_holders(
+    drawn: list[tuple[int, float, bool]], reads: list[tuple[str, int, int]], seed: int
+) -> None:
+    """The members read files with other terms and floors at any time, and half of the datagrams are late."""
+    files = [
+        cluster_file(
+            "abc", electors=ELECTORS if has_roles else (), term_ms=term, floor=floor, role_term_ms=2 * term
+        )
+        for term, floor, has_roles in drawn
+    ]
+    rng = random.Random(seed)
+    network = Network(files[0], "abc")
+    network.run(8 * SECOND_US, {"a": 6, "b": 1})
+    busy = "a"
+    for name, index, heartbeats in reads:
+        network.members[name].read(files[index % len(files)], network.now)
+        for _ in range(heartbeats):
+            if rng.random() < 0.05:
+                busy = rng.choice("abc")
+            for member in rng.sample("abc", 3):
+                network.heartbeat(member)
+                network.request_sessions(member, 6 if member == busy else 1)
+            rng.shuffle(network.in_flight)
+            for _ in range(len(network.in_flight) // 2 + 1):
+                network.deliver(0)
+            network.now += HEARTBEAT_US
+            for role_index in range(2):
+                assert len(holders(network, role_index)) <= 1
+    assert network.checker.verdict().holds
+
+
 @pytest.mark.parametrize("new_term_ms", [1600, 30_000])
 @pytest.mark.parametrize("removed", ELECTORS)
 def test_replaced_elector_and_another_term_give_no_second_holder(removed: str, new_term_ms: int) -> None:
