Slow-start turns stay handed over for the former, longer term after a change of the file

A requester that follows a file with a shorter term told the balancer an earlier end of the hand-over with its next renewal; the former issuer, which may not have read the file, counts on the turns for its own term.

Change: the end of the hand-over is never told earlier than before.

--- a/larchlatch/cluster/slow_start/requester.py
+++ b/larchlatch/cluster/slow_start/requester.py
@@ -134,7 +134,9 @@
         # Each request until the next renewal promises a whole term, and the notice of the renewal can take
         # NOTICE_LAG_US to reach the balancer.
         self._previous_notice_until = self.handed_over_until
-        self.handed_over_until = now + self._term_us + self._term_us // IDLE_RENEWALS_PER_TERM + NOTICE_LAG_US
+        until = now + self._term_us + self._term_us // IDLE_RENEWALS_PER_TERM + NOTICE_LAG_US
+        # A promise to an issuer under a former file, with a longer term, is kept.
+        self.handed_over_until = max(self.handed_over_until, until)
         return TokenActions(self._request(now, origin), TokenNotice(self.handed_over_until))
 
     def _refill_allowance(self, now: int) -> None:
--- a/tests/cluster/test_file_changes.py
+++ b/tests/cluster/test_file_changes.py
@@ -19,9 +19,10 @@
 from larchlatch.cluster.exchange.state import SharedState
 from larchlatch.cluster.membership.membership import Membership
 from larchlatch.cluster.protocol.headers import RequestOrigin
-from larchlatch.cluster.protocol.messages import Vote
+from larchlatch.cluster.protocol.messages import TokenGrant, Vote
 from larchlatch.cluster.quota.borrower import Borrower
 from larchlatch.cluster.quota.shared_quotas import SharedQuotas
+from larchlatch.cluster.slow_start.requester import TokenRequester
 from larchlatch.emulator.unsigned_signer import UnsignedSigner, unsigned_key
 from larchlatch.errors import ConfigurationError
 from larchlatch.invariants.observations import SessionAdmitted, SessionRequested
@@ -356,6 +357,22 @@
     assert quotas.admit(later + 60 * SECOND_US, "all")
 
 
+def test_issuer_promise_under_a_former_longer_term_is_kept() -> None:
+    """The former issuer counts on the turns that were handed over to it for its own, longer term."""
+    requester = TokenRequester(role_file(30_000).electorate, START_US)
+    until = requester.handed_over_until
+    requester.follow(role_file(3000).electorate)
+    origin = RequestOrigin("a", START_US, START_US)
+    requester.open(START_US)
+    for now in range(START_US, START_US + 2 * SECOND_US, HEARTBEAT_US):
+        request, notice = requester.tick(now, origin, "b")
+        assert notice is None or notice.handed_over_until >= until
+        if request is not None:
+            grant = TokenGrant("b", "a", START_US, request.request_id, 7, SECOND_US, now, 0)
+            requester.accept(now, grant)
+    assert requester.answered_lately(now)
+
+
 def test_higher_floor_with_another_term_is_not_spent_while_a_part_of_it_is_lent() -> None:
     """The borrowers go on by the former file: a part of the new floor is still theirs."""
     network = Network(cluster_file("abc", term_ms=9000, floor=0.25), "abc")
