A closed quota account renews no loan, as lender or as borrower

Cause: QuotaAccount.renew did not ask whether the account is closed. Every other order of a closed account was looked at: admit, limit, spare, lend and shortfall give nothing; a closed borrower still asked for renewals of loans that nobody there could spend.

Change: renew gives 0 once closed, and Borrower asks for no renewal then.

--- a/larchlatch/cluster/quota/account.py
+++ b/larchlatch/cluster/quota/account.py
@@ -202,10 +202,13 @@
         return max(0, lent)
 
     def renew(self, now: int, loan_id: LoanId, amount: int) -> int:
-        """Renew a loan for another term, unless this node needs it; return the amount, 0 if not renewed."""
+        """Renew a loan for another term, unless this node needs it; return the amount, 0 if not renewed.
+
+        A closed account renews none: the process that took over counts on the end of all loans.
+        """
         self.expire(now)
         loan = self.lent.get(loan_id)
-        if loan is None or loan.amount != amount or self.shortfall(now):
+        if self.closed or loan is None or loan.amount != amount or self.shortfall(now):
             return 0
         loan.recovered_at = self.now + self.loan_terms.recovery_us
         return loan.amount
--- a/larchlatch/cluster/quota/borrower.py
+++ b/larchlatch/cluster/quota/borrower.py
@@ -126,6 +126,8 @@
         self, now: int, quota: str, account: QuotaAccount, awaited: Sequence[PendingRequest]
     ) -> list[PendingRequest]:
         """Return requests to renew the loans that end within half a term and are still needed."""
+        if account.closed:
+            return []
         limit, expected_demand = account.limit(now), account.expected_demand(now)
         half_term_us = self.settings.loan_terms.term_us // 2
         renewing = {request.renews for request in awaited}
--- a/tests/cluster/test_quota.py
+++ b/tests/cluster/test_quota.py
@@ -382,3 +382,51 @@
     assert successor_cluster.used == {"all": 5}
     new.restore(without_cluster.hand_over(), 0)
     assert successor_cluster.used == {"all": 5}, "a predecessor without a cluster must hand over no usage"
+
+
+def test_closed_lender_renews_no_loan_while_its_successor_spends_the_whole_share() -> None:
+    """In a hot restart the successor counts on the end of all loans a term and a window later."""
+    checker, now = QuotaSafety(LIMIT, SECOND), START + 60 * SECOND
+    settings_of_both = quota_settings(names="ab")
+    lender, successor, borrower = (
+        SharedQuotas(name, settings_of_both, HEARTBEAT_US, START, random.Random(1)) for name in "aab"
+    )
+    for node in (lender, borrower):
+        node.open(START)
+    first = borrower.request_loan(now, RequestOrigin("b", 1, now), lender="a", quota="all", amount=6)
+    grant = lender.answer(now, first, NO_PERMIT)
+    assert grant is not None and borrower.accept_grant(now, grant)
+    successor.take_over(now, lender.close(now))
+    account = lender.accounts["all"]
+    assert not any((account.limit(now), account.spare(now), account.shortfall(now)))
+    taken_over_at, ends_at = now, now + 4 * LOAN_TERMS.recovery_us
+    for now in range(taken_over_at, ends_at, STEP_US):
+        spare = {"a": [0]}
+        if now % HEARTBEAT_US == 0:
+            for request in borrower.loan_requests(now, RequestOrigin("b", 1, now), spare):
+                answer = lender.answer(now, request, NO_PERMIT) if lender.expects(request) else None
+                if answer is not None and borrower.expects(answer):
+                    borrower.accept_grant(now, answer)
+        for name, node in (("a", successor), ("b", borrower)):
+            for number in range(3):
+                ident = f"{name} {now} {number}"
+                checker.observe(SessionRequested(now, ident))
+                if not node.admit(now, "t"):
+                    checker.observe(SessionAdmitted(now, ident))
+    assert checker.verdict().holds
+
+
+def test_closed_borrower_asks_for_no_renewal() -> None:
+    """Guards against requests without end for a loan that the successor process can't spend."""
+    lender, borrower = (
+        SharedQuotas(name, quota_settings(names="ab"), HEARTBEAT_US, START, random.Random(1)) for name in "ab"
+    )
+    now = START + 60 * SECOND
+    for node in (lender, borrower):
+        node.open(START)
+    request = borrower.request_loan(now, RequestOrigin("b", 1, now), lender="a", quota="all", amount=6)
+    grant = lender.answer(now, request, NO_PERMIT)
+    assert grant is not None and borrower.accept_grant(now, grant)
+    borrower.close(now)
+    later = now + LOAN_TERMS.term_us - HEARTBEAT_US
+    assert borrower.loan_requests(later, RequestOrigin("b", 1, later), {"a": [0]}) == []
