--- a/larchlatch/cluster/quota/account.py
+++ b/larchlatch/cluster/quota/account.py
@@ -202,10 +202,13 @@
         return max(0, lent)
 
     def renew(self, now: int, loan_id: LoanId, amount: int) -> int:
-        """Renew a loan for another term, unless this node needs it; return the amount, 0 if not renewed."""
+        """Renew a loan for another term, unless this node needs it; return the amount, 0 if not renewed.
+
+        A closed account renews none: the process that took over counts on the end of all loans.
+        """
         self.expire(now)
         loan = self.lent.get(loan_id)
-        if loan is None or loan.amount != amount or self.shortfall(now):
+        if self.closed or loan is None or loan.amount != amount or self.shortfall(now):
             return 0
         loan.recovered_at = self.now + self.loan_terms.recovery_us
         return loan.amount
@@ -235,6 +238,11 @@
 
     # A new cluster file.
 
+    def loans_end_at(self, now: int) -> int:
+        """Return the time at which every loan of this node's share has ended that was made until now."""
+        self._advance(now)
+        return max(self.full_share_at, self.now + self.loan_terms.recovery_us)
+
     def change_share(self, share: QuotaShare) -> None:
         """Change the share: a reduction applies at once, an increase once no node uses the former file."""
         # Nodes read a new file one after the other. If an increase applied at once, it would be spent while
@@ -260,4 +268,5 @@
         if not all_agree:
             self.next_share_at = None
         elif self.next_share is not None and self.next_share_at is None:
-            self.next_share_at = self.now + self.loan_terms.recovery_us
+            # Loans by longer terms of a former file may end later.
+            self.next_share_at = max(self.now + self.loan_terms.recovery_us, self.full_share_at)
--- a/larchlatch/cluster/quota/borrower.py
+++ b/larchlatch/cluster/quota/borrower.py
@@ -69,6 +69,17 @@
         self._last_number = 0
         self._pending: dict[int, PendingRequest] = {}
 
+    def apply_settings(self, settings: QuotaSettings) -> None:
+        """Use the settings of a changed cluster file.
+
+        Loans that this node has stay in its accounts. Those of a removed member end with their term, before
+        the member's share can be spent elsewhere, and are not renewed.
+        """
+        self.settings = settings
+        # A lender counts the term of a grant by the file under which the loan was requested, and this node
+        # would count it by the new file.
+        self._pending = {}
+
     def wants_loans(self, now: int) -> bool:
         """Return whether there may be a loan to request or to renew."""
         return any(account.borrowed or account.shortfall(now) for account in self._accounts.values())
@@ -115,6 +126,8 @@
         self, now: int, quota: str, account: QuotaAccount, awaited: Sequence[PendingRequest]
     ) -> list[PendingRequest]:
         """Return requests to renew the loans that end within half a term and are still needed."""
+        if account.closed:
+            return []
         limit, expected_demand = account.limit(now), account.expected_demand(now)
         half_term_us = self.settings.loan_terms.term_us // 2
         renewing = {request.renews for request in awaited}
@@ -122,6 +135,9 @@
         for number, loan in account.borrowed.items():
             if loan.ends_at - now > half_term_us or number in renewing:
                 continue
+            if loan.lender not in self.settings.names:
+                limit -= loan.amount
+                continue
             # A loan that is no longer needed is left to end without renewal.
             if limit - loan.amount < expected_demand:
                 drafts.append(PendingRequest(loan.lender, quota, loan.amount, asked_at=now, renews=number))
