A repeat is only written if it arrives in its window after a hold-up of 0.15 s as well

Change: policy/retries.py, is_repeat_recognized, has both bounds (hold-up and transit) in one place; attempts.py asks it. Looked at besides, unchanged: the client's deadline (an answer up to 0.5 s late earns nothing, and is not lost); d of an attempt is computed at the write and is 1 ms at least; drains (0.19 s until the list is known, and 0.15 s, in a grace of 0.3 s and its 50 ms); orders and loans count from their request, whatever the hold-up; the quota's window counts admissions.

--- a/larchlatch/node/attempts.py
+++ b/larchlatch/node/attempts.py
@@ -15,6 +15,7 @@
 from larchlatch.node.wire import lines as wire
 from larchlatch.node.wire.dialing import Unconnected, dial, send_all
 from larchlatch.node.wire.stream import Ending, LineConnection
+from larchlatch.policy.retries import is_repeat_recognized
 from larchlatch.policy.types import Outcome
 
 if TYPE_CHECKING:
@@ -23,7 +24,6 @@
     from larchlatch.node.session_record import SessionRecord
     from larchlatch.node.upstream_context import UpstreamContext, UpstreamTarget
 
-MAX_TRANSIT_US = 20_000  # longest transit time of a request line to an upstream in another zone
 DESCRIPTOR_RETRY_S = 0.005  # pause between two tries to reserve a file descriptor while none is free
 
 # Outcomes after which the receiver of the session's final answer owns the connection.
@@ -211,8 +211,7 @@
             return AttemptCounter.NOT_BEGUN_UPSTREAM_DRAINING
         if now >= give_up_at:
             return AttemptCounter.NOT_BEGUN_TOO_LATE
-        # When the line arrives, the upstream might no longer recognise it as a repeat, and run it twice.
-        if now + MAX_TRANSIT_US >= record.session.repeat_until:
+        if not is_repeat_recognized(now, record.session):
             return AttemptCounter.NOT_BEGUN_DEDUP_WINDOW_OVER
         return None
 
--- a/larchlatch/policy/retries.py
+++ b/larchlatch/policy/retries.py
@@ -14,6 +14,9 @@
     from larchlatch.policy.upstream import Fleet, Upstream
 
 RETRY_AFTER_US = 200_000  # shortest wait advised to a shed client; longer than a round of further attempts
+MAX_WRITE_DELAY_US = 150_000  # longest time for which a node is held up between reading its clock and writing
+MAX_TRANSIT_US = 20_000  # longest transit time of a request line to an upstream in another zone
+
 SUPERSEDED_CHECK_US = 250_000  # time between two checks; short compared with latency objectives
 
 
@@ -123,6 +126,19 @@
         return traffic_class.idempotency is Idempotency.IDEMPOTENT
 
 
+def is_repeat_recognized(now: int, session: Session) -> bool:
+    """Return whether upstreams recognize a repeat that is written next, whenever it arrives.
+
+    To an upstream that no longer recognizes it, the repeat is a new request, which it would run again. True
+    for a session without an attempt that may have run.
+
+    Args:
+        now: The present time in microseconds.
+        session: The session.
+    """
+    return now + MAX_WRITE_DELAY_US + MAX_TRANSIT_US < session.repeat_until
+
+
 def _is_deduplicated_everywhere(traffic_class: TrafficClass) -> bool:
     return traffic_class.idempotency is Idempotency.KEYED and traffic_class.dedup_scope is DedupScope.ALL
 
