Only the wait of a request is replaced, also if its id or key contains `,d=`

Cause: lines.py, _position_of_wait, searched the whole line for `,d=`; the id and the key come first.

Change: the search is in the items, after the key.

--- a/larchlatch/node/wire/lines.py
+++ b/larchlatch/node/wire/lines.py
@@ -129,7 +129,7 @@
     load = _parse_figure(values.get(LOAD, "0"))
     if load is None:
         return BadLine(LineFault.LOAD_IS_NO_NUMBER)
-    wait_at = _position_of_wait(text)
+    wait_at = len(text) - len(values_text) + _position_of_wait(values_text)
     return Opening(
         ident=ident,
         text_before_wait=text[:wait_at],
@@ -145,11 +145,14 @@
     )
 
 
-def _position_of_wait(text: str) -> int:
-    """Return where the value of the client's wait begins in a request; a node replaces it by its own wait."""
-    later_item, first_item = f",{WAIT_MS}=", f" {WAIT_MS}="
-    item = later_item if later_item in text else first_item
-    return text.index(item) + len(item)
+def _position_of_wait(values_text: str) -> int:
+    """Return where the value of the client's wait begins in the items of a request.
+
+    A node replaces this value by its own wait. The request's id and key, which precede the items, may contain
+    text that looks like an item.
+    """
+    item = f"{WAIT_MS}="
+    return f",{values_text}".index(f",{item}") + len(item)
 
 
 def _printable_text(line: bytes) -> str | BadLine:
