A packet that is invalid at any step of a hot restart leaves each process serving alone

Cause: Predecessor._serve_successor waited for the successor's end with channel.receive, whose ProtocolError nothing caught.

Change: every receive of the predecessor is one that logs an invalid packet and returns; a packet after Serving is one too. A descriptor that is no socket makes a packet invalid (before: OSError, and the descriptor stayed open). Sockets of packets that are not used are closed, on both sides.

--- a/larchlatch/node/hot_restart/channel.py
+++ b/larchlatch/node/hot_restart/channel.py
@@ -29,6 +29,11 @@
     packet: Packet
     sockets: list[socket.socket]
 
+    def close_sockets(self) -> None:
+        """Close the sockets of a packet that is not used."""
+        for sock in self.sockets:
+            sock.close()
+
 
 class Header(NamedTuple):
     """The header that precedes the body of each packet.
@@ -115,7 +120,7 @@
         except BaseException:  # also a cancellation: nothing else would close the received descriptors
             _close_all(descriptors)
             raise
-        return Received(packet, [socket.socket(fileno=descriptor) for descriptor in descriptors])
+        return Received(packet, _sockets_of(descriptors))
 
     async def close(self) -> None:
         """Close the connection to the other process."""
@@ -150,6 +155,25 @@
         return bytes(body)
 
 
+def _sockets_of(descriptors: list[int]) -> list[socket.socket]:
+    """Return the sockets of received descriptors.
+
+    Raises:
+        ProtocolError: a descriptor is not a socket; all are closed.
+
+    """
+    sockets: list[socket.socket] = []
+    try:
+        for descriptor in descriptors:
+            sockets.append(socket.socket(fileno=descriptor))
+    except OSError:
+        for sock in sockets:
+            sock.close()
+        _close_all(descriptors[len(sockets) :])
+        raise ProtocolError("packet", "a descriptor is not a socket") from None
+    return sockets
+
+
 def _close_all(descriptors: list[int]) -> None:
     for descriptor in descriptors:
         socket.close(descriptor)
--- a/larchlatch/node/hot_restart/predecessor.py
+++ b/larchlatch/node/hot_restart/predecessor.py
@@ -27,6 +27,7 @@
     from larchlatch.node.balancer_actor import BalancerActor
     from larchlatch.node.client_listener import ClientListener
     from larchlatch.node.components import NodeComponents
+    from larchlatch.node.hot_restart.packets import Packet
     from larchlatch.node.hot_restart.rendezvous import Rendezvous
     from larchlatch.node.session_record import SessionRecord
     from larchlatch.node.wire.stream import LineConnection
@@ -111,19 +112,26 @@
 
     async def _serve_successor(self, channel: Channel) -> None:
         """Hand over to a successor; return once it has failed or ended, and this process serves alone."""
-        received = await receive_within(channel, ANSWER_TIMEOUT_S)
-        if received is None or received.packet != hello_of(self._configuration):
+        if await self._receive(channel, ANSWER_TIMEOUT_S) != hello_of(self._configuration):
             return
         log.info("hot_restart_successor_starting")
         welcome = Welcome(self._balancer_actor.endpoint_list())
         if not await channel.send(welcome, [self._client_listener.fileno()]):
             return
-        received = await receive_within(channel, START_TIMEOUT_S)
-        if received is None or not isinstance(received.packet, Serving):
+        if not isinstance(await self._receive(channel, START_TIMEOUT_S), Serving):
             return
         async with self._successor_serving(channel) as state:
-            if await channel.send(state):
-                await channel.receive()  # returns when the successor ends, as it sends no further packet
+            if await channel.send(state) and await self._receive(channel, None) is not None:
+                log.warning("hot_restart_packet_invalid", reason="packet: another one after Serving")
+
+    @staticmethod
+    async def _receive(channel: Channel, timeout_s: float | None) -> Packet | None:
+        """Return the successor's next packet, which never has descriptors; None if it sends no valid one."""
+        received = await receive_within(channel, timeout_s)
+        if received is None:
+            return None
+        received.close_sockets()
+        return received.packet
 
     @asynccontextmanager
     async def _successor_serving(self, channel: Channel) -> AsyncIterator[StateHandover]:
--- a/larchlatch/node/hot_restart/rendezvous.py
+++ b/larchlatch/node/hot_restart/rendezvous.py
@@ -117,8 +117,14 @@
     return Hello(configuration.name, f"{host}:{port}")
 
 
-async def receive_within(channel: Channel, timeout_s: float) -> Received | None:
-    """Return the next packet; None if none arrives in time, it is invalid, or the connection is closed."""
+async def receive_within(channel: Channel, timeout_s: float | None) -> Received | None:
+    """Return the next packet; None if none arrives in time, it is invalid, or the connection is closed.
+
+    Args:
+        channel: the connection to the other process.
+        timeout_s: how long to wait, in seconds; None: for any time.
+
+    """
     try:
         with anyio.move_on_after(timeout_s):
             return await channel.receive()
--- a/larchlatch/node/hot_restart/successor.py
+++ b/larchlatch/node/hot_restart/successor.py
@@ -71,12 +71,15 @@
             return None
         channel = Channel(await UNIXSocketStream.from_socket(sock))
         await channel.send(hello_of(configuration))
-        match await receive_within(channel, ANSWER_TIMEOUT_S):
+        received = await receive_within(channel, ANSWER_TIMEOUT_S)
+        match received:
             case Received(Welcome(endpoints), [listening_socket]) if (
                 listening_socket.getsockname()[:2] == configuration.listen_address
             ):
                 return cls(channel, endpoints, Listener(listening_socket), counters)
             case _:
+                if received is not None:
+                    received.close_sockets()
                 counters.add(SuccessorCounter.NOTHING_HANDED_OVER)
                 log.warning("hot_restart_nothing_handed_over")
                 await channel.close()
@@ -86,6 +89,8 @@
         """Tell the predecessor that this process serves, and restore the state that it hands over."""
         await self._channel.send(Serving())
         received = await receive_within(self._channel, ANSWER_TIMEOUT_S)
+        if received is not None:
+            received.close_sockets()
         if received is None or not isinstance(received.packet, StateHandover):
             self._counters.add(SuccessorCounter.NOTHING_HANDED_OVER)
             return
@@ -117,6 +122,8 @@
                 if isinstance(packet, SessionHandover) and len(sockets) == CONNECTIONS_PER_SESSION:
                     session_count += 1
                     tasks.start_soon(connections.adopt, packet, sockets)
+                else:
+                    received.close_sockets()
         except InvalidInputError as error:
             log.warning("hot_restart_packet_invalid", reason=str(error))
         return session_count
