Descriptors of adopted sessions count as in use until the sessions end

Found by the review by reading: after a hot restart DescriptorBudget.in_use is too low by two for each adopted session. It is: they were taken out of the capacity for good, and each end of a session made in_use lower by two. The next successor was told of too few descriptors of this process, so both together could pass the limit.

Change: the capacity comes back whole when the predecessor has ended, and adopted descriptors are reserved. Test: three sessions adopted and standing, one ended before: in_use 6 and the capacity as at the start; the code before has -2 and 44 of 52.

--- a/larchlatch/node/descriptor_budget.py
+++ b/larchlatch/node/descriptor_budget.py
@@ -74,6 +74,10 @@
         """Release one reserved descriptor."""
         self.free += 1
 
+    def take_over(self, count: int) -> None:
+        """Count descriptors as reserved that came with connections of another process."""
+        self.free -= count
+
     def reduce_capacity(self, count: int) -> None:
         """Remove descriptors from the budget, for example for the successor; a negative count adds them."""
         self.capacity -= count
--- a/larchlatch/node/hot_restart/successor.py
+++ b/larchlatch/node/hot_restart/successor.py
@@ -108,9 +108,10 @@
         session_count = await self._adopt_sessions(connections, tasks)
         await self._channel.close()
         connections.requests.ids.release_reserved()
-        # Adopted sessions keep their descriptors and release them when they end.
-        adopted_descriptors = session_count * CONNECTIONS_PER_SESSION
-        connections.descriptors.reduce_capacity(adopted_descriptors - self._predecessor_descriptor_count)
+        # Adopted sessions keep their descriptors and release them when they end. Until now these were part of
+        # what the predecessor had open.
+        connections.descriptors.reduce_capacity(-self._predecessor_descriptor_count)
+        connections.descriptors.take_over(session_count * CONNECTIONS_PER_SESSION)
         log.info("hot_restart_predecessor_ended", sessions=session_count)
 
     async def _adopt_sessions(self, connections: ClientConnections, tasks: TaskGroup) -> int:
--- a/tests/node/test_descriptor_budget.py
+++ b/tests/node/test_descriptor_budget.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import socket
+from types import SimpleNamespace
 from typing import Any
 
 import anyio
 import pytest
-from anyio.abc import TaskGroup
+from anyio.abc import TaskGroup, UNIXSocketStream
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from larchlatch.config.endpoints import EndpointList
 from larchlatch.node.clients import request_reader
 from larchlatch.node.descriptor_budget import (
     HEADROOM,
@@ -18,7 +21,13 @@
     DescriptorBudget,
     IdleConnection,
 )
+from larchlatch.node.hot_restart.channel import Channel
+from larchlatch.node.hot_restart.packets import BalancerState, SessionHandover, StateHandover
+from larchlatch.node.hot_restart.successor import Successor
+from larchlatch.node.metrics import Counters
+from larchlatch.node.wire.listen import Listener
 from larchlatch.node.wire.stream import Ending
+from larchlatch.policy.types import Outcome
 from tests.support.clients import CLIENT_IDS, connect
 from tests.support.configuration import node_configuration
 from tests.support.loopback import run_on_loopback
@@ -142,3 +151,55 @@
         assert len(idle_answers) == 1000 and set(idle_answers) <= {b"ERR\r\n", Ending.END, Ending.RESET}
 
     run_on_loopback(body)
+
+
+def test_adopted_sessions_count_as_in_use_until_they_end() -> None:
+    """Guards against a next successor that is told of too few descriptors in use by this process."""
+
+    async def body(tasks: TaskGroup) -> None:
+        ours, theirs = socket.socketpair()
+        for sock in (ours, theirs):
+            sock.setblocking(False)
+        channel = Channel(await UNIXSocketStream.from_socket(ours))
+        listener = Listener(socket.create_server(("127.0.0.1", 0)))
+        successor = Successor(channel, EndpointList(1, True, []), listener, Counters())
+        descriptors = DescriptorBudget(100)
+        capacity = descriptors.capacity
+
+        async def adopt(packet: SessionHandover, sockets: list[socket.socket]) -> None:
+            for sock in sockets:
+                sock.close()
+                if packet.load:  # a session that ends before the predecessor does
+                    descriptors.release()
+
+        def accept(*_: object) -> None: ...
+
+        ids = SimpleNamespace(reserve=accept, release_reserved=accept)
+        connections: Any = SimpleNamespace(
+            requests=SimpleNamespace(ids=ids), descriptors=descriptors, adopt=adopt
+        )
+        components: Any = SimpleNamespace(
+            descriptors=descriptors,
+            connections=connections,
+            lifecycle=None,
+            balancer_actor=SimpleNamespace(restore=accept),
+        )
+        predecessor = Channel(await UNIXSocketStream.from_socket(theirs))
+        await predecessor.send(StateHandover(BalancerState({}), [], 30, None, 0))
+        for load in (0.0, 0.0, 0.0, 1.0):
+            pair = socket.socketpair()
+            packet = SessionHandover(b"", "s-0", load, 0, int(Outcome.RESET), b"", b"")
+            await predecessor.send(packet, [sock.fileno() for sock in pair])
+            for sock in pair:
+                sock.close()
+        await predecessor.close()
+        await successor.take_over_state(components)
+        async with anyio.create_task_group() as adopting:
+            await successor.run(connections, adopting)
+        assert descriptors.capacity == capacity and descriptors.in_use == 6
+        for _ in range(6):
+            descriptors.release()
+        assert descriptors.in_use == 0
+        listener.sock.close()
+
+    run_on_loopback(body)
