Each task of a node has a barrier around one probe, check, round, signal or hand-over

Cause: probes, the watch of established sessions, the drain, the handling of signals and the serving of a successor had none; an exception there would have ended the node's task group with all sessions.

Change: a barrier in each loop, with a log event and a counter.

--- a/larchlatch/node/hot_restart/predecessor.py
+++ b/larchlatch/node/hot_restart/predecessor.py
@@ -13,6 +13,7 @@
 
 from larchlatch.node.clock import UNIX_OFFSET_US
 from larchlatch.node.descriptor_budget import HEADROOM
+from larchlatch.node.fault_barrier import FaultBarrier
 from larchlatch.node.hot_restart.channel import Channel
 from larchlatch.node.hot_restart.packets import Serving, SessionHandover, StateHandover, Welcome
 from larchlatch.node.hot_restart.rendezvous import ANSWER_TIMEOUT_S, hello_of, is_same_user, receive_within
@@ -44,6 +45,7 @@
 
     STATE_HANDED_OVER = "hot_restart_state_handed_over"
     SUCCESSOR_LOST = "hot_restart_successor_lost"
+    FAILED = "hot_restart_failed"  # a fault of this process while it served a successor
 
 
 class DetachedConnection(NamedTuple):
@@ -103,7 +105,10 @@
             # Both processes share one descriptor limit, and the successor needs descriptors while it starts.
             self._descriptors.reduce_capacity(HEADROOM)
             try:
-                await self._serve_successor(channel)
+                with FaultBarrier(
+                    self._counters, counter=PredecessorCounter.FAILED, event="hot_restart_failed"
+                ):
+                    await self._serve_successor(channel)
             finally:
                 self._descriptors.reduce_capacity(-HEADROOM)
                 await channel.close()
--- a/larchlatch/node/probes.py
+++ b/larchlatch/node/probes.py
@@ -9,6 +9,7 @@
 import structlog
 
 from larchlatch.node.clock import now_us
+from larchlatch.node.fault_barrier import FaultBarrier
 from larchlatch.node.messages import ProbeFinished
 from larchlatch.node.wire import lines as wire
 from larchlatch.node.wire.dialing import Unconnected, connect
@@ -28,6 +29,7 @@
     ALREADY_RUNNING = "probe_already_running"
     ANSWERED = "probe_answered"
     FAILED = "probe_failed"
+    FAULT = "probe_fault"  # a fault of the node while it probed; the probe counts as failed too
 
 
 class Prober:
@@ -50,9 +52,11 @@
             self._counters.add(ProbeCounter.ALREADY_RUNNING)
             return
         started_at = now_us()
+        report: wire.Pong | None = None
         self._running = True
         try:
-            report = await self.query()
+            with FaultBarrier(self._counters, counter=ProbeCounter.FAULT, event="probe_fault"):
+                report = await self.query()
         finally:
             self._running = False
         await self._finish(report, duration_us=now_us() - started_at)
--- a/larchlatch/node/session_watch.py
+++ b/larchlatch/node/session_watch.py
@@ -11,6 +11,7 @@
 import structlog
 
 from larchlatch.node.clock import now_us
+from larchlatch.node.fault_barrier import FaultBarrier
 from larchlatch.node.messages import DelayObserved, UpstreamUnresponsive
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
 class SessionWatchCounter(StrEnum):
     """Names of the counters of watches on sessions."""
 
+    CHECK_FAILED = "session_check_failed"
     CLIENT_NOT_READING = "client_not_reading"
     DELAY_REPORTED = "delay_reported"
     NOT_JUDGED_NODE_LAG = "upstream_not_judged_node_lag"
@@ -88,7 +90,10 @@
         """Check the sessions at each interval, until cancelled."""
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
-            await self._check(now_us())
+            with FaultBarrier(
+                self._counters, counter=SessionWatchCounter.CHECK_FAILED, event="session_check_failed"
+            ):
+                await self._check(now_us())
 
     async def _check(self, now: int) -> None:
         self._notice_node_lag(now)
--- a/larchlatch/node/shutdown.py
+++ b/larchlatch/node/shutdown.py
@@ -8,6 +8,8 @@
 import anyio
 import structlog
 
+from larchlatch.node.fault_barrier import FaultBarrier
+
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
@@ -31,6 +33,7 @@
     """Names of the counters of drain and graceful shutdown."""
 
     SESSION_RELEASED = "session_released"
+    ROUND_FAILED = "drain_round_failed"
 
 
 class SessionDrainer:
@@ -55,8 +58,9 @@
         handover_requested_at: dict[SessionRecord, float] = {}
         while self._lifecycle.releasing_sessions:
             now = anyio.current_time()
-            self._release_due(now, handover_requested_at)
-            self._migrate_overdue(now, handover_requested_at)
+            with FaultBarrier(self._counters, counter=DrainCounter.ROUND_FAILED, event="drain_round_failed"):
+                self._release_due(now, handover_requested_at)
+                self._migrate_overdue(now, handover_requested_at)
             await anyio.sleep(ROUND_INTERVAL_S)
         self._running = False
 
--- a/larchlatch/node/signal_handler.py
+++ b/larchlatch/node/signal_handler.py
@@ -9,6 +9,7 @@
 import anyio
 import structlog
 
+from larchlatch.node.fault_barrier import FaultBarrier
 from larchlatch.node.reload import reload_configuration
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
 
 # The signals that a node handles. By default each ends the process, so all are handled from its start.
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
+SIGNAL_FAILED = "signal_handling_failed"  # counter and log event of a fault in the handling of a signal
 
 log = structlog.get_logger()
 
@@ -45,19 +47,24 @@
         self._tasks = tasks
 
     async def run(self, signals: AsyncIterator[signal.Signals]) -> None:
-        """Handle signals until cancelled."""
+        """Handle signals until cancelled; a fault in the handling of one ends it alone."""
+        counters = self._components.counters
         async for signal_number in signals:
-            self._handle(signal_number)
+            with FaultBarrier(
+                counters, counter=SIGNAL_FAILED, event=SIGNAL_FAILED, signal=signal_number.name
+            ):
+                self._handle(signal_number)
 
     def _handle(self, signal_number: signal.Signals) -> None:
         if signal_number == signal.SIGHUP:
             self._reload()
             return
+        # The stop comes first, so that a fault in the rest can't prevent it.
+        if signal_number != signal.SIGUSR1:
+            self._begin_stop()
         log.info("counters", **self._components.figures())
         if signal_number == signal.SIGUSR1:
             self._log_status()
-        else:
-            self._begin_stop()
 
     def _reload(self) -> None:
         components = self._components
@@ -85,6 +92,6 @@
         if lifecycle.stopping:
             return
         lifecycle.start_stop(anyio.current_time())
+        self._tasks.start_soon(self._shutdown.run)
         if self._components.cluster is not None:
             self._components.cluster.resign()
-        self._tasks.start_soon(self._shutdown.run)
