--- a/tests/node/test_task_faults.py
+++ b/tests/node/test_task_faults.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -26,6 +26,7 @@
 from larchlatch.node.wire import dialing
 from tests.support.clients import open_session
 from tests.support.configuration import node_configuration
+from tests.support.faults import raising_once
 from tests.support.loopback import run_on_loopback, wait_until
 from tests.support.node import EMPTY_CHANGE, start_node
 from tests.support.node_process import admin_address, call_admin_api
@@ -33,20 +34,6 @@
 from tests.support.stand_ins import DiscoveryStub, UpstreamStubs
 
 
-def raising_once(original: Callable[..., Any]) -> Callable[..., Any]:
-    """Return a function that raises when it is called first, and then calls the original one."""
-    raised = False
-
-    def raise_or_call(*args: Any, **named: Any) -> Any:
-        nonlocal raised
-        if not raised:
-            raised = True
-            raise RuntimeError("from the test")
-        return original(*args, **named)
-
-    return raise_or_call
-
-
 @pytest.mark.parametrize(
     ("owner", "method", "event"),
     [
