The wait for a replaced elector's promises holds over a file without roles between

Found on rereading. A file without `duties` in between made the present electorate empty, and the next file was compared with that: with a shorter term, the others waited for a default promise of 3 s instead of the former term's.

Change: ElectorSide compares with the last electorate that had electors.

--- a/larchlatch/cluster/election/elector_side.py
+++ b/larchlatch/cluster/election/elector_side.py
@@ -26,11 +26,15 @@
         self.electorate = electorate
         self.silent_until = 0
         self._own_name = own_name
+        self._last_with_electors = electorate
         self.electors = self._started_electors(now)
 
     def _started_electors(self, now: int) -> dict[str, Elector]:
         roles = self.electorate.roles if self._own_name in self.electorate.electors else ()
-        return {role: Elector.started(self.electorate.lease_terms, now) for role in roles}
+        electors = {role: Elector.started(self.electorate.lease_terms, now) for role in roles}
+        for elector in electors.values():
+            elector.opens_at = max(elector.opens_at, self.silent_until)
+        return electors
 
     def follow(self, electorate: Electorate, now: int) -> None:
         """Start over with the electorate of a changed cluster file, after all promises under former files.
@@ -41,13 +45,14 @@
         """
         former = self.electors
         ends = [elector.promises_end_at for elector in former.values()]
-        if set(electorate.electors) != set(self.electorate.electors):
-            ends.append(now + self.electorate.lease_terms.promise_us)
+        if set(electorate.electors) != set(self._last_with_electors.electors):
+            ends.append(now + self._last_with_electors.lease_terms.promise_us)
         self.silent_until = max([self.silent_until, *ends])
         self.electorate = electorate
+        if electorate.electors:
+            self._last_with_electors = electorate
         self.electors = self._started_electors(now)
         for role, elector in self.electors.items():
-            elector.opens_at = max(elector.opens_at, self.silent_until)
             if role in former:
                 elector.highest_lease = former[role].highest_lease
 
