A quota that one file removes and a later one adds again begins with the smaller share

Found on rereading, the same cause on a related path: the account of a quota that returns was new, with the new floor at once, though a part of it could still be lent by the first file.

Change: the shares of removed quotas are kept, and a returning account goes from the smaller to the new share like every other. Its test failed before (the quota checker), and passes now.

--- a/larchlatch/cluster/quota/shared_quotas.py
+++ b/larchlatch/cluster/quota/shared_quotas.py
@@ -16,7 +16,7 @@
 
     from larchlatch.cluster.election.fencing import OrderPermit
     from larchlatch.cluster.protocol.headers import RequestOrigin
-    from larchlatch.cluster.quota.settings import Quota, QuotaSettings
+    from larchlatch.cluster.quota.settings import Quota, QuotaSettings, QuotaShare
 
 
 class QuotaStatus(NamedTuple):
@@ -96,6 +96,7 @@
         self._closed = True  # whether another process of this node may be spending
         # Time at which all loans under former cluster files have ended, here and at other nodes.
         self._former_loans_end_at = now
+        self._removed_shares: dict[str, QuotaShare] = {}  # of quotas that a file removed, by their names
 
     def admit(self, now: int, traffic_class: str) -> int:
         """Admit one session of a traffic class; return 0, or the microseconds after which to retry."""
@@ -178,6 +179,9 @@
         ends = [account.loans_end_at(now) for account in self.accounts.values()]
         self._former_loans_end_at = max([self._former_loans_end_at, *ends])
         accounts = {quota.name: self._updated_account(quota, settings, now) for quota in settings.quotas}
+        self._removed_shares |= {
+            name: account.share for name, account in self.accounts.items() if name not in accounts
+        }
         self.accounts.clear()
         self.accounts.update(accounts)
         self._quota_by_traffic_class = settings.quota_by_traffic_class()
@@ -196,11 +200,12 @@
             return former
         # The recent use is counted in windows of the former length. In windows of the new length it is
         # unknown, as after a start. Loans go on by their former terms at nodes that have not read the file.
-        account = QuotaAccount(share if former is None else former.share, settings.loan_terms, now)
+        former_share = former.share if former is not None else self._removed_shares.pop(quota.name, share)
+        account = QuotaAccount(former_share, settings.loan_terms, now)
         if not self._closed:
             account.open(now)
         account.full_share_at = max(account.full_share_at, self._former_loans_end_at)
-        if former is not None:
+        if former_share != share:
             account.change_share(share)
         return account
 
