A process that takes over waits for the longest terms that it has known since its start

Found on rereading: where a new file meets the state of the other process of a node. A process that read a file with shorter terms before it took over, in a hot restart, counted by the new terms alone what the other one may have promised, lent or handed over until then by the former ones: Election.open made a new ElectorSide, the accounts and the requester used the present terms.

--- a/larchlatch/cluster/election/election.py
+++ b/larchlatch/cluster/election/election.py
@@ -87,7 +87,7 @@
         silence in which it answers no ballot.
         """
         self._candidate_side.reset(self.electorate)
-        self._elector_side = ElectorSide(self.own_name, self.electorate, now)
+        self._elector_side.open(now)
 
     def follow(self, electorate: Electorate, now: int) -> None:
         """Start over with the electorate of a changed cluster file.
--- a/larchlatch/cluster/election/elector_side.py
+++ b/larchlatch/cluster/election/elector_side.py
@@ -27,6 +27,8 @@
         self.silent_until = 0
         self._own_name = own_name
         self._last_with_electors = electorate
+        # By the files that were read since this process took over the node's part, or since its start.
+        self._longest_promise_us = electorate.lease_terms.promise_us
         self.electors = self._started_electors(now)
 
     def _started_electors(self, now: int) -> dict[str, Elector]:
@@ -36,6 +38,16 @@
             elector.opens_at = max(elector.opens_at, self.silent_until)
         return electors
 
+    def open(self, now: int) -> None:
+        """Start over when this process takes over the node's part in elections from another process.
+
+        The promises of the other process are unknown. It may have made them until now, and under a file that
+        this process has replaced since its start.
+        """
+        self.silent_until = max(self.silent_until, now + self._longest_promise_us)
+        self._longest_promise_us = self.electorate.lease_terms.promise_us
+        self.electors = self._started_electors(now)
+
     def follow(self, electorate: Electorate, now: int) -> None:
         """Start over with the electorate of a changed cluster file, after all promises under former files.
 
@@ -51,6 +63,7 @@
         self.electorate = electorate
         if electorate.electors:
             self._last_with_electors = electorate
+        self._longest_promise_us = max(self._longest_promise_us, electorate.lease_terms.promise_us)
         self.electors = self._started_electors(now)
         for role, elector in self.electors.items():
             if role in former:
--- a/larchlatch/cluster/slow_start/requester.py
+++ b/larchlatch/cluster/slow_start/requester.py
@@ -61,6 +61,7 @@
 
     def __init__(self, electorate: Electorate, now: int) -> None:
         self.closed = False
+        self._longest_promise_us = 0  # by the files that were read since the last `open`
         # A hand-over that this node promised before its start is unknown here and may still be valid.
         self.handed_over_until = now + electorate.lease_terms.promise_us
         self._previous_notice_until = (
@@ -79,6 +80,7 @@
         self._digest = electorate.digest
         self._term_us = electorate.lease_terms.term_us  # length of a hand-over
         self._promise_us = electorate.lease_terms.promise_us
+        self._longest_promise_us = max(self._longest_promise_us, self._promise_us)
         self.issuer = ""
         self._issuer_timestamp = 0  # time of the issuer's last answer, by the issuer's clock
         self._issuer_lease = 0  # number of the issuer's lease in that answer
@@ -228,5 +230,6 @@
         The turns count as handed over until all promises of the predecessor process have ended.
         """
         self.closed = False
-        self.handed_over_until = max(self.handed_over_until, now + self._promise_us)
+        self.handed_over_until = max(self.handed_over_until, now + self._longest_promise_us)
+        self._longest_promise_us = self._promise_us
         return TokenNotice(self.handed_over_until) if self.enabled else None
