The suspicion of a watcher that the cluster file no longer has does not count

SuspicionTracker.set_members assigned new watchers and kept what former ones had reported; a removed member never withdraws it, so in a large cluster one more watcher would make a running member silent until its next record.

Change: reports of members that no longer watch are dropped with the file. The test failed before, and passes now.

--- a/larchlatch/cluster/membership/suspicion.py
+++ b/larchlatch/cluster/membership/suspicion.py
@@ -64,6 +64,13 @@
         self._watched_by = members_by_watcher(watchers, self.names)
         for member in members.values():
             member.watchers = frozenset(watchers.get(member.name, ()))
+            # A member that no longer watches it reports neither a suspicion nor the end of one.
+            member.suspected_by = {
+                name: known_version
+                for name, known_version in member.suspected_by.items()
+                if name in member.watchers
+            }
+            self._update_suspected(member)
 
     # Reports of other members.
 
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -185,6 +185,23 @@
     )
 
 
+def test_suspicion_of_a_watcher_that_the_file_no_longer_has_does_not_count() -> None:
+    """A removed member never withdraws its suspicion, so one more watcher would silence a running member."""
+    sites = {f"n{number:02}": f"s{number % 10}" for number in range(40)}
+    members = Membership(
+        "n00", sites, heartbeat_us=HEARTBEAT_US, wall_us=WALL_US, now_us=0, rng=random.Random(1)
+    )
+    suspected = members.members["n20"]
+    removed = sorted(suspected.watchers - {"n00"})[0]
+    for name, suspicions in (("n20", []), (removed, [members.member_indexes["n20"]])):
+        reports = [Suspicion(index, WALL_US, 9) for index in suspicions]
+        record = NodeRecord(name, WALL_US, 1, WALL_US, False, b"", suspicions=reports)
+        members.receive(record, SignedMessage(encode_body(record), bytes(64)), direct=False)
+    assert set(suspected.suspected_by) == {removed}
+    members.set_members({name: site for name, site in sites.items() if name != removed})
+    assert not suspected.suspected_by and not members._suspicions._suspected
+
+
 def test_failed_member_of_a_large_cluster_is_detected_within_seconds_despite_loss() -> None:
     faults = [
         {"kind": "lossy", "at_s": 0.1, "loss": 0.2, "for_s": 60.0},
