--- a/larchlatch/cluster/driver.py
+++ b/larchlatch/cluster/driver.py
@@ -166,7 +166,7 @@
     def _send(self, datagrams: list[OutgoingDatagram]) -> None:
         for datagram in datagrams:
             recipient = self.nodes.get(datagram.recipient)
-            if recipient is None:  # a ballot names it, or a request that was pending when the file changed
+            if recipient is None:  # a fault; the other datagrams are sent all the same
                 self._counters.add(ClusterCounter.RECIPIENT_UNKNOWN)
                 continue
             self._socket.send(datagram.data, recipient.address)
