At the stop, clients in the backlog behind one that has left are answered

Found on rereading, on the related path: accept_nowait took an error of one connection for an empty backlog, and the clients behind it were reset when the listener closed. By the documentation of accept; forced in the test, which failed before.

Change: it goes on after such an error, and ends where the listening socket is at fault or no descriptor or memory is free.

--- a/larchlatch/node/wire/listen.py
+++ b/larchlatch/node/wire/listen.py
@@ -13,6 +13,12 @@
 # Errors of `accept` that concern the listening socket itself. All others concern one connection, or pass:
 # Linux reports network errors of the new connection there, and a lack of descriptors or memory (accept(2)).
 LISTENING_SOCKET_ERRORS = (errno.EBADF, errno.EFAULT, errno.EINVAL, errno.ENOTSOCK)
+RESOURCE_ERRORS = (
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+)  # they leave the connection queued
 
 
 class AcceptError(LarchlatchError):
@@ -74,13 +80,18 @@
         return str(host), int(port)
 
     def accept_nowait(self) -> socket.socket | None:
-        """Accept a connection that is queued; return None if there is none or it can't be accepted."""
-        try:
-            connection, _ = self.sock.accept()
-        except OSError:
-            return None
-        connection.setblocking(False)
-        return connection
+        """Accept a connection that is queued; return None if there is none or none can be accepted."""
+        while True:
+            try:
+                connection, _ = self.sock.accept()
+            except BlockingIOError:
+                return None
+            except OSError as error:
+                if error.errno in (*LISTENING_SOCKET_ERRORS, *RESOURCE_ERRORS):
+                    return None
+            else:
+                connection.setblocking(False)
+                return connection
 
     async def accept(self) -> socket.socket:
         """Wait for the next connection and accept it.
--- a/tests/node/test_accept_errors.py
+++ b/tests/node/test_accept_errors.py
@@ -71,6 +71,23 @@
     anyio.run(accept)
 
 
+def test_connections_behind_an_erroneous_one_are_accepted_at_the_stop() -> None:
+    """Guards against clients in the backlog that are reset because one before them had left."""
+    listener = failing_listener(errno.ECONNABORTED, errno.ENETDOWN)
+    with listener.sock, socket.create_connection(listener.address):
+        accepted = listener.accept_nowait()
+        assert accepted is not None and listener.accept_nowait() is None
+        accepted.close()
+
+
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENOMEM, errno.EBADF])
+def test_accepting_at_the_stop_ends_if_no_connection_can_be_accepted(error: int) -> None:
+    """Guards against a stop that tries for ever while no descriptor is free."""
+    listener = failing_listener(error)
+    with listener.sock, socket.create_connection(listener.address):
+        assert listener.accept_nowait() is None
+
+
 def test_an_error_of_the_listening_socket_is_raised() -> None:
     """Guards against a loop that would try for ever to accept from a socket that is closed."""
 
