A hot-restart packet with a negative number of descriptors or drain time is invalid

A negative count would raise the successor's capacity. Two cases of the test of invalid packets failed before.

--- a/larchlatch/node/hot_restart/packets.py
+++ b/larchlatch/node/hot_restart/packets.py
@@ -197,10 +197,13 @@
 
 def _read_state_handover(raw: JsonObject) -> StateHandover:
     draining_for_s = raw.get("drained_s")
+    descriptor_count = _required(raw, "holds", int)
+    if descriptor_count < 0 or (isinstance(draining_for_s, NUMBER) and draining_for_s < 0):
+        raise ProtocolError(WHERE, "holds and drained_s must not be negative")
     return StateHandover(
         balancer_state=_read_balancer_state(_required(raw, "learned", dict)),
         session_ids=[str(session_id) for session_id in _required(raw, "idents", list)],
-        descriptor_count=_required(raw, "holds", int),
+        descriptor_count=descriptor_count,
         draining_for_s=float(draining_for_s) if isinstance(draining_for_s, NUMBER) else None,
         clock_offset_us=_required(raw, "clock_us", int),
     )
--- a/tests/node/test_hot_restart_packets.py
+++ b/tests/node/test_hot_restart_packets.py
@@ -78,6 +78,8 @@
         b'{"kind":"Nothing"}',
         b'{"kind":"StateHandover"}',
         b'{"kind":"Welcome","members":{}}',
+        b'{"kind":"Ceded","learned":{},"idents":[],"holds":-1,"clock_us":0}',
+        b'{"kind":"Ceded","learned":{},"idents":[],"holds":1,"clock_us":0,"drained_s":-0.5}',
     ],
 )
 def test_an_invalid_packet_raises_an_error(text: bytes) -> None:
