--- a/larchlatch/cluster/quota/account.py
+++ b/larchlatch/cluster/quota/account.py
@@ -97,15 +97,23 @@
 
     # Hot restart: one process of a node replaces another.
 
-    def open(self, now: int) -> None:
-        """Allow this process to spend; no other process of this node may do so now."""
+    def open(self, now: int, former_recovery_us: int = 0) -> None:
+        """Allow this process to spend; no other process of this node may do so now.
+
+        Args:
+            now: present time.
+            former_recovery_us: longest time in which a loan ends that another process of this node may have
+                made under a former cluster file, in microseconds.
+
+        """
         # The amounts that were spent and lent before the start are unknown. Until they no longer count, the
         # last window is taken as fully used, and everything above the floor as lent.
         self._advance(now)
         if self.closed:
             self.closed = False
             self.opens_at = self.now + self.loan_terms.counting_window_us
-        self.full_share_at = max(self.full_share_at, self.now + self.loan_terms.recovery_us)
+        recovery_us = max(self.loan_terms.recovery_us, former_recovery_us)
+        self.full_share_at = max(self.full_share_at, self.now + recovery_us)
 
     def close(self, now: int) -> int:
         """Stop spending, as another process of this node takes over; return the use in the last window."""
@@ -113,9 +121,16 @@
         self.closed = True
         return self.demand.use(self.now)
 
-    def take_over(self, now: int, used: int) -> None:
-        """Spend in place of the predecessor process, which admitted `used` sessions in its last window."""
-        self.open(now)
+    def take_over(self, now: int, used: int, former_recovery_us: int = 0) -> None:
+        """Spend in place of the predecessor process.
+
+        Args:
+            now: present time.
+            used: number of sessions that the predecessor admitted in its last window.
+            former_recovery_us: as of `open`.
+
+        """
+        self.open(now, former_recovery_us)
         self.opens_at = self.now
         self.demand.record_use(self.now, used)
 
--- a/larchlatch/cluster/quota/shared_quotas.py
+++ b/larchlatch/cluster/quota/shared_quotas.py
@@ -96,7 +96,7 @@
         self._closed = True  # whether another process of this node may be spending
         # Time at which all loans under former cluster files have ended, here and at other nodes.
         self._former_loans_end_at = now
-        # By the files that were read since this process took over spending, or since its start.
+        # By the files that were read since the last `open`, or since the start of this process.
         self._longest_recovery_us = settings.loan_terms.recovery_us
         self._removed_shares: dict[str, QuotaShare] = {}  # of quotas that a file removed, by their names
 
@@ -225,9 +225,10 @@
 
     def open(self, now: int) -> None:
         """Allow this process to spend; no other process of this node may do so now."""
+        self._closed = False
         for account in self.accounts.values():
-            account.open(now)
-        self._restrict_to_floors(now)
+            account.open(now, self._longest_recovery_us)
+        self._longest_recovery_us = self.settings.loan_terms.recovery_us
 
     def close(self, now: int) -> dict[str, int]:
         """Stop spending; return the sessions admitted under each quota in the last window, by its name."""
@@ -235,27 +236,17 @@
         return {name: account.close(now) for name, account in self.accounts.items()}
 
     def take_over(self, now: int, used: Mapping[str, int]) -> None:
-        """Spend in place of the predecessor process.
+        """Spend in place of the predecessor process; `open` follows when that process has ended.
 
         Args:
             now: present time.
             used: sessions that the predecessor admitted in its last window, by the name of the quota.
 
         """
+        self._closed = False
         for name, account in self.accounts.items():
             if name in used:
-                account.take_over(now, used[name])
-        self._restrict_to_floors(now)
-
-    def _restrict_to_floors(self, now: int) -> None:
-        """Spend the floors alone until the loans have ended that this node's other process made until now.
-
-        It may have made them under a file that this process has replaced since its start.
-        """
-        self._closed = False
-        for account in self.accounts.values():
-            account.full_share_at = max(account.full_share_at, now + self._longest_recovery_us)
-        self._longest_recovery_us = self.settings.loan_terms.recovery_us
+                account.take_over(now, used[name], self._longest_recovery_us)
 
     def statuses(self, now: int) -> list[QuotaStatus]:
         """Return the status of each quota, in the order of the cluster file."""
--- a/tests/cluster/test_process_takeover.py
+++ b/tests/cluster/test_process_takeover.py
@@ -7,6 +7,8 @@
 
 import random
 
+import pytest
+
 from larchlatch.cluster.election.ballots import BallotKind
 from larchlatch.cluster.election.election import Election
 from larchlatch.cluster.protocol.headers import RequestOrigin
@@ -38,13 +40,19 @@
     assert election.answer_ballot(LATER_US + long_promise_us, request) is not None
 
 
-def test_node_that_takes_over_spends_its_floor_until_loans_by_a_replaced_file_have_ended() -> None:
+@pytest.mark.parametrize("predecessor_is_running", [False, True])
+def test_node_that_takes_over_spends_its_floor_until_loans_by_a_replaced_file_have_ended(
+    predecessor_is_running: bool,
+) -> None:
     """Guards against an amount that is spent here while a borrower has it by the former, longer term."""
     long_settings = cluster_file("abc", term_ms=LONG_MS).quota_settings
     quotas = SharedQuotas("a", long_settings, HEARTBEAT_US, START_US, random.Random(1))
     short_settings = cluster_file("abc", term_ms=SHORT_MS).quota_settings
     quotas.apply_settings(short_settings, START_US + SECOND_US)
-    quotas.open(LATER_US)
+    if predecessor_is_running:
+        quotas.take_over(LATER_US, {"all": 0})
+    else:
+        quotas.open(LATER_US)
     account = quotas.accounts["all"]
     quotas.compare_digests(LATER_US, [short_settings.digest])
     long_recovery_us = long_settings.loan_terms.recovery_us
--- a/tests/cluster/test_quota.py
+++ b/tests/cluster/test_quota.py
@@ -210,7 +210,7 @@
     )
 
 
-def open_without_waiting(account: QuotaAccount, now: int) -> None:
+def open_without_waiting(account: QuotaAccount, now: int, former_recovery_us: int = 0) -> None:
     account.closed, account.opens_at, account.full_share_at = False, now, now
 
 
