Load test: hot restarts of node processes, one place for what stubs send and for the report

Stubs send through one method, in which a subclass can misbehave; a fleet can give its processes admin APIs, start a successor, and complete or abort a hot restart; the observer is told of a hot restart and of a removed member; the run creates its stubs and its row in methods of their own; load's report stands in cli/load_report.py, for both commands.

--- a/larchlatch/cli/load.py
+++ b/larchlatch/cli/load.py
@@ -2,22 +2,12 @@
 
 from __future__ import annotations
 
-import sys
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import click
 
-from larchlatch.cli.scenario_options import (
-    CHANGES,
-    DRAW,
-    EXIT_RULE_BROKEN,
-    EXIT_VOID,
-    SCENARIO,
-    SEED,
-    read_scenario,
-    result_line,
-    violates_quota,
-)
+from larchlatch.cli.load_report import report_load_test
+from larchlatch.cli.scenario_options import CHANGES, DRAW, SCENARIO, SEED, read_scenario
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -57,31 +47,4 @@
         result, violations = run_load_test(scenario, check_address(address))
     except LoadTestError as error:
         raise click.ClickException(str(error)) from error
-    click.echo(result_line({"day": scenario.name, "policy": "sockets", "seed": scenario.seed, **result}))
-    for line in (*violations, *describe_cluster_figures(result)):
-        click.echo(line, err=True)
-    broken = any(result["broken"].values()) or violates_quota(result)
-    click.echo(
-        "a rule was broken: see `broken`, `over_budget` and `outside` in the row"
-        if broken
-        else "no rule was broken",
-        err=True,
-    )
-    if result["void"]:
-        click.echo("void: the load test started clients too late, so its figures are not reliable", err=True)
-        sys.exit(EXIT_VOID)
-    if broken:
-        sys.exit(EXIT_RULE_BROKEN)
-
-
-def describe_cluster_figures(result: dict[str, Any]) -> list[str]:
-    """Return a line on the nodes' agreement and one on the shared quota, as far as the result has them."""
-    lines = []
-    if "agreed_s" in result:
-        agreed_s = result["agreed_s"]
-        agreement = "no agreement at the end" if agreed_s is None else f"{agreed_s:.1f} s at most"
-        lines.append(f"time until all nodes agreed on the members, after each fault and its end: {agreement}")
-    if "over_budget" in result:
-        used = f"{result['budget_used']:.2f} of the usable quota was used"
-        lines.append(f"shared quota: {used}, largest excess in a window: {result['over_budget']} sessions")
-    return lines
+    report_load_test(scenario, result, violations)
--- a/larchlatch/loadtest/cluster_observer.py
+++ b/larchlatch/loadtest/cluster_observer.py
@@ -96,6 +96,12 @@
         self._running[node] = running
         self._observe_fleet()
 
+    def member_removed(self, removed: int) -> None:
+        """Record that a node is in no cluster file any more; other nodes log nothing further about it."""
+        for node, running in enumerate(self._running):
+            if running:
+                self.checkers.observe(MemberReported(now_us(), node, removed, present=False))
+
     def partitioned(self, nodes: Sequence[int], *, oneway: bool) -> None:
         """Record that datagrams between these nodes and the others are blocked from now on.
 
--- a/larchlatch/loadtest/discovery_stub.py
+++ b/larchlatch/loadtest/discovery_stub.py
@@ -143,13 +143,13 @@
     async def _serve(self, zone: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             request_line, _, _ = (await reader.readuntil(b"\r\n\r\n")).decode().partition("\r\n")
-            writer.write(RESPONSE_HEAD)
+            await self._send(RESPONSE_HEAD, writer)
             if "watch=1" in request_line:
                 from_revision = int(request_line.partition("from=")[2].split("&")[0].split()[0])
                 await self._send_changes(zone, from_revision, writer)
             else:
-                _write_chunk(writer, orjson.dumps(self.known_endpoints(zone)) + b"\n")
-                writer.write(LAST_CHUNK)
+                await self._send(_chunk(orjson.dumps(self.known_endpoints(zone)) + b"\n"), writer)
+                await self._send(LAST_CHUNK, writer)
         except (*CONNECTION_ERRORS, EOFError):
             pass  # the node has closed the connection, or its process has ended
         finally:
@@ -164,15 +164,25 @@
                 await anyio.sleep(max(self._delay_s(), self._outage_until - now_us() / SECOND))
                 members = self._seen_from(zone, self._changes[sent_revision:revision])
                 update = {"revision": revision, "complete": False, "members": members}
-                _write_chunk(writer, orjson.dumps(update) + b"\n")
+                await self._send(_chunk(orjson.dumps(update) + b"\n"), writer)
                 sent_revision = revision
             else:
                 with anyio.move_on_after(KEEP_ALIVE_S):
                     await self._changed.wait()
                 if sent_revision == len(self._changes):
-                    _write_chunk(writer, b"\n")
-            await writer.drain()
+                    await self._send(_chunk(b"\n"), writer)
 
+    async def _send(self, data: bytes, writer: asyncio.StreamWriter) -> None:
+        """Send data to a node.
 
-def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
-    writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+        Raises:
+            OSError: The connection has ended.
+
+        """
+        writer.write(data)
+        await writer.drain()
+
+
+def _chunk(data: bytes) -> bytes:
+    """Return data as a chunk of an HTTP body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
--- a/larchlatch/loadtest/limits.py
+++ b/larchlatch/loadtest/limits.py
@@ -57,11 +57,19 @@
             raise ConfigurationError(
                 "day", f"{key}: {asked:g} exceeds the limit of the load test ({limit:g})"
             )
-    _raise_descriptor_limit(int(established * DESCRIPTORS_PER_SESSION) + SPARE_DESCRIPTORS)
+    raise_descriptor_limit(scenario)
     return scenario
 
 
-def _raise_descriptor_limit(wanted: int) -> None:
+def raise_descriptor_limit(scenario: Scenario) -> None:
+    """Raise this process's limit of file descriptors to what a scenario needs.
+
+    Raises:
+        ConfigurationError: The system's hard limit is lower.
+
+    """
+    established = scenario.sessions.rate * scenario.sessions.lifetime_s
+    wanted = int(established * DESCRIPTORS_PER_SESSION) + SPARE_DESCRIPTORS
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if hard != resource.RLIM_INFINITY and wanted > hard:
         raise ConfigurationError(
--- a/larchlatch/loadtest/node_fleet.py
+++ b/larchlatch/loadtest/node_fleet.py
@@ -33,6 +33,7 @@
 
     Attributes:
         nodes: All nodes in the order of their numbers; empty until `assign_addresses`.
+        has_admin_apis: Whether processes started from now on serve an admin API, as a hot restart needs.
 
     """
 
@@ -55,6 +56,7 @@
 
         """
         self.nodes: list[NodeProcess] = []
+        self.has_admin_apis = False
         self._scenario = scenario
         self._streams = streams
         self._discovery = discovery
@@ -99,7 +101,7 @@
         self._folder = folder
         self._cluster = cluster
         self._discovery_address = discovery_address
-        self._observer.follow_logs([self._log_file(node) for node in self.nodes])
+        self._observer.follow_logs([self.log_file(node) for node in self.nodes])
         async with anyio.create_task_group() as starts:
             for node in self.nodes:
                 starts.start_soon(self._start_in_time, node)
@@ -120,6 +122,43 @@
 
     async def _start(self, node: NodeProcess, endpoints: EndpointList) -> None:
         """Start a process with these endpoints in its configuration, and wait until it serves."""
+        if self.has_admin_apis:
+            node.admin_address = self._free_admin_address(node)
+        command = self._command(node, endpoints, node.admin_address)
+        self._observer.node_starts(node.number)
+        await node.start(command, self.log_file(node))
+        self._observer.node_runs(node.number, running=True)
+
+    async def start_successor(self, node: NodeProcess) -> str:
+        """Start a second process for a hot restart of a node; return the address of its admin API."""
+        admin_address = self._free_admin_address(node)
+        command = self._command(node, self._known_endpoints(node), admin_address)
+        await node.start_successor(command, self.log_file(node))
+        return admin_address
+
+    async def complete_hot_restart(self, node: NodeProcess, admin_address: str) -> int:
+        """Let the first process of a node hand over and end; return its exit code.
+
+        Args:
+            node: The node.
+            admin_address: Address of the second process's admin API.
+
+        """
+        node.admin_address = admin_address
+        # The first process leaves the cluster, and the second one joins it when the first has ended.
+        self._observer.node_runs(node.number, running=False)
+        try:
+            return await node.complete_hot_restart()
+        finally:
+            self._observer.node_starts(node.number)
+            self._observer.node_runs(node.number, running=True)
+
+    @staticmethod
+    def _free_admin_address(node: NodeProcess) -> str:
+        return f"{node.address}:{free_tcp_port(node.address)}"
+
+    def _command(self, node: NodeProcess, endpoints: EndpointList, admin_address: str) -> NodeCommand:
+        """Write the configuration of a new process of a node, and return the command that starts it."""
         seed = self._streams.stream(f"node {node.number} start {node.start_count + 1}").getrandbits(64)
         configuration = node_configuration(
             self._scenario,
@@ -129,21 +168,24 @@
             seed=f"{seed:x}",
             endpoints=endpoints,
         )
-        path = self._file(node, "json")
+        path = self.configuration_file(node)
         path.write_bytes(orjson.dumps(configuration))
         command = SINGLE_NODE if self._cluster is None else self._cluster.command(node.number)
-        command = command._replace(
+        environment = {"TMPDIR": str(path.parent), "EDGE_CONTROL": admin_address}
+        return command._replace(
             arguments=["--config", str(path), *command.arguments],
-            environment={"TMPDIR": str(path.parent), **command.environment},
+            environment={**environment, **command.environment},
         )
-        self._observer.node_starts(node.number)
-        await node.start(command, self._log_file(node))
-        self._observer.node_runs(node.number, running=True)
+
+    def configuration_file(self, node: NodeProcess) -> Path:
+        """Return the path of a node's configuration, which its next process reads at its start."""
+        return self._file(node, "json")
 
     def _known_endpoints(self, node: NodeProcess) -> EndpointList:
         return self._discovery.known_endpoints(self.zone_of(node))
 
-    def _log_file(self, node: NodeProcess) -> Path:
+    def log_file(self, node: NodeProcess) -> Path:
+        """Return the path of the log of all of a node's processes."""
         return self._file(node, "log")
 
     def _file(self, node: NodeProcess, suffix: str) -> Path:
--- a/larchlatch/loadtest/node_process.py
+++ b/larchlatch/loadtest/node_process.py
@@ -44,6 +44,7 @@
         number: The node's number.
         address: The address on which it listens.
         port: The port on which it listens.
+        admin_address: Address and port of its process's admin API; empty if it has none.
         in_rotation: Whether clients connect to it.
         removed: Whether it has left the cluster for good.
         start_count: Number of processes that have been started for it.
@@ -55,11 +56,13 @@
         self.number = number
         self.address = address
         self.port = port
+        self.admin_address = ""
         self.in_rotation = True
         self.removed = False
         self.start_count = 0
         self.interruption_count = 0
         self._process: asyncio.subprocess.Process | None = None
+        self._successor: asyncio.subprocess.Process | None = None  # during a hot restart
         self._killed = False
         self._paused = False
         self._pause_count = 0  # number of faults that pause it now; they may overlap
@@ -88,17 +91,7 @@
 
         """
         self.start_count += 1
-        with _open_log(log) as output:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                command.module,
-                "serve",
-                *command.arguments,
-                stdout=output,
-                stderr=asyncio.subprocess.STDOUT,
-                env={**os.environ, "EDGE_CONTROL": "", **command.environment},
-            )
+        self._process = await _start_process(command, log)
         while not await self._answers_ping():
             if self._process.returncode is not None:
                 raise NodeProcessError(self.number, f"ended: {_last_line(log)}")
@@ -118,13 +111,9 @@
             close_writer(writer)
 
     async def stop(self) -> None:
-        """Kill the process, and wait until it has ended."""
-        process = self._process
-        if process is None or process.returncode is not None:
-            return
-        with suppress(ProcessLookupError):
-            process.kill()
-        await process.wait()
+        """Kill the process, and a successor if there is one, and wait until they have ended."""
+        for process in (self._process, self._successor):
+            await _kill(process)
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, which may have ended."""
@@ -132,6 +121,32 @@
             with suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
+    # Hot restart: a second process takes over from the present one.
+
+    async def start_successor(self, command: NodeCommand, log: Path) -> None:
+        """Start a second process; `abort_hot_restart` or `complete_hot_restart` has to follow."""
+        self.start_count += 1
+        self._successor = await _start_process(command, log)
+
+    async def abort_hot_restart(self) -> int:
+        """Let the second process end gracefully; return its exit code."""
+        successor, self._successor = self._successor, None
+        return await _terminate(successor)
+
+    async def complete_hot_restart(self) -> int:
+        """Let the first process hand over and end gracefully; return its exit code."""
+        predecessor, self._process, self._successor = self._process, self._successor, None
+        return await _terminate(predecessor)
+
+    async def shut_down(self) -> int:
+        """Let the process end gracefully; return its exit code."""
+        return await _terminate(self._process)
+
+    @property
+    def pid(self) -> int:
+        """The ID of the process; 0 if the node has not been started."""
+        return self._process.pid if self._process is not None else 0
+
     # Faults.
 
     def mark_killed(self) -> None:
@@ -166,6 +181,42 @@
         return True
 
 
+async def _start_process(command: NodeCommand, log: Path) -> asyncio.subprocess.Process:
+    with _open_log(log) as output:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            command.module,
+            "serve",
+            *command.arguments,
+            stdout=output,
+            stderr=asyncio.subprocess.STDOUT,
+            env={**os.environ, "EDGE_CONTROL": "", **command.environment},
+        )
+
+
+async def _terminate(process: asyncio.subprocess.Process | None) -> int:
+    """Send SIGTERM to a process, and return its exit code; on cancellation it is killed."""
+    if process is None:
+        raise RuntimeError("there is no process to end")
+    try:
+        if process.returncode is None:
+            with suppress(ProcessLookupError):
+                process.send_signal(signal.SIGTERM)
+        return await process.wait()
+    finally:
+        with anyio.CancelScope(shield=True):
+            await _kill(process)
+
+
+async def _kill(process: asyncio.subprocess.Process | None) -> None:
+    if process is None or process.returncode is not None:
+        return
+    with suppress(ProcessLookupError):
+        process.kill()
+    await process.wait()
+
+
 def _open_log(log: Path) -> BinaryIO:
     return log.open("ab")
 
--- a/larchlatch/loadtest/run.py
+++ b/larchlatch/loadtest/run.py
@@ -40,8 +40,10 @@
     from collections.abc import Callable
 
     from larchlatch.loadtest.node_process import NodeProcess
+    from larchlatch.scenario.clients import Client
     from larchlatch.scenario.faults import AnyFault
     from larchlatch.scenario.scenario import Scenario
+    from larchlatch.scenario.upstreams import SimulatedUpstream
 
 STATUS_INTERVAL_S = 1.0
 SLOW_START_INTERVAL_S = 1.0
@@ -85,10 +87,8 @@
         self.checkers = ClusterCheckers(scenario, now_us())
         self.observer = OutsideObserver(scenario, self.checkers.quota)
         by_key = {f"k{client.key}": client for client in self.clients}
-        self.stubs = [
-            UpstreamStub(upstream, scenario, by_key, self.observer) for upstream in create_upstreams(scenario)
-        ]
-        self.discovery = DiscoveryStub(scenario, self._discovery_delays())
+        self.stubs = [self._create_stub(upstream, by_key) for upstream in create_upstreams(scenario)]
+        self.discovery = self._create_discovery()
         self.zone_connections = ZoneConnections(self.stubs)
         self.cluster_observer = ClusterObserver(scenario, self.checkers, self.zone_connections.is_connected)
         self.fleet = NodeFleet(scenario, self.streams, self.discovery, self.cluster_observer, self.tasks)
@@ -99,6 +99,12 @@
         )
         self._address = address
 
+    def _create_stub(self, upstream: SimulatedUpstream, clients: dict[str, Client]) -> UpstreamStub:
+        return UpstreamStub(upstream, self.scenario, clients, self.observer)
+
+    def _create_discovery(self) -> DiscoveryStub:
+        return DiscoveryStub(self.scenario, self._discovery_delays())
+
     def _discovery_delays(self) -> Callable[[], float]:
         discovery, delays = self.scenario.discovery, self.streams.stream("list")
         return lambda: delays.uniform(discovery.min_delay_ms / 1e3, discovery.max_delay_ms / 1e3)
@@ -124,8 +130,16 @@
             finally:
                 with anyio.CancelScope(shield=True):
                     await self._stop_processes()
+        return self.result_row()
+
+    def result_row(self) -> dict[str, Any]:
+        """Return the figures of the finished run, by the keys under which they are printed."""
         return result_row(self)
 
+    def violations(self) -> list[str]:
+        """Return descriptions of the first violations of rules."""
+        return self.observer.descriptions
+
     # Start and end.
 
     async def _start(self, folder: Path) -> None:
@@ -214,13 +228,22 @@
 def run_load_test(scenario: Scenario, address: str) -> LoadTestResult:
     """Play a scenario on sockets, and return its figures and the rules that were violated.
 
+    Raises:
+        LoadTestError: The run could not continue: a node or the load test itself is defective.
+
+    """
+    return play_to_end(LoadTestRun(scenario, address))
+
+
+def play_to_end(run: LoadTestRun) -> LoadTestResult:
+    """Play a prepared run in an event loop of its own.
+
     SIGINT and SIGTERM end the run early, once everything that it started has been stopped.
 
     Raises:
         LoadTestError: The run could not continue: a node or the load test itself is defective.
 
     """
-    run = LoadTestRun(scenario, address)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         try:
             row = runner.run(_play_until_terminated(run))
@@ -228,7 +251,7 @@
             raise SystemExit(EXIT_TERMINATED) from None
         except BaseExceptionGroup as group:
             raise _cause_of(group) from group
-    return LoadTestResult(row, run.observer.descriptions)
+    return LoadTestResult(row, run.violations())
 
 
 async def _play_until_terminated(run: LoadTestRun) -> dict[str, Any]:
--- a/larchlatch/loadtest/upstream_stub.py
+++ b/larchlatch/loadtest/upstream_stub.py
@@ -169,7 +169,7 @@
             if self.silent:
                 await anyio.sleep_forever()
             self.probes += 1
-            writer.write(PONG if line == PING else self._load_report())
+            await self._send(PONG if line == PING else self._load_report(), writer)
             line = await reader.readline()
         return line
 
@@ -188,7 +188,7 @@
         done_at = self.upstream.schedule_setup(now, client.work_us)
         if done_at is None:
             self._observer.attempt_ended(opening.ident, never_ran=True)
-            writer.write(BUSY_LINE)
+            await self._send(BUSY_LINE, writer)
             return
         # The node may close the connection, or send the first byte of a message, during the setup.
         first_byte = asyncio.ensure_future(reader.read(1))
@@ -199,7 +199,7 @@
                 await first_byte
             elif not first_byte.done():
                 self._observer.attempt_ended(opening.ident)
-                self._establish(client, writer)
+                await self._establish(client, writer)
                 await self._echo_messages(first_byte, reader, writer)
         finally:
             first_byte.cancel()
@@ -221,12 +221,12 @@
         if upstream.is_overloaded_by(now, client.load):
             observer.report(Rule.NO_OVERLOAD, f"upstream {upstream.number}: overloaded during its slow start")
 
-    def _establish(self, client: Client, writer: asyncio.StreamWriter) -> None:
+    async def _establish(self, client: Client, writer: asyncio.StreamWriter) -> None:
         self._session_count += 1
         session = EstablishedSession(self._session_count, client.group)
         self._sessions[writer] = session
         self.upstream.add_session(session.number, client.load, session.group, self._group_load)
-        writer.write(ESTABLISHED_LINE + f"LOAD {client.load:.1f}\r\n".encode())
+        await self._send(ESTABLISHED_LINE + f"LOAD {client.load:.1f}\r\n".encode(), writer)
 
     async def _echo_messages(
         self, first_byte: asyncio.Future[bytes], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -241,5 +241,14 @@
                 return
             delay_us = self.upstream.message_latency_us(now_us(), self._message_objective_us)
             await anyio.sleep(delay_us / SECOND)
-            writer.write(first + remainder)
+            await self._send(first + remainder, writer)
             first = await reader.read(1)
+
+    async def _send(self, data: bytes, writer: asyncio.StreamWriter) -> None:
+        """Send data to a node.
+
+        Raises:
+            OSError: The connection has ended.
+
+        """
+        writer.write(data)
