--- a/larchlatch/cli/tools.py
+++ b/larchlatch/cli/tools.py
@@ -12,6 +12,7 @@
     "sweep": "larchlatch.cli.emulator",
     "plot": "larchlatch.cli.emulator",
     "load": "larchlatch.cli.load",
+    "soak": "larchlatch.cli.soak",
     "search": "larchlatch.cli.emulator",
 }
 
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -20,7 +20,18 @@
     """A command of the tools that is missing in `TOOL_COMMANDS` could not be called."""
     result = CliRunner().invoke(cli, ["--help"])
     assert result.exit_code == 0
-    for name in ("check", "cluster-key", "emulate", "load", "plot", "search", "serve", "sweep", "version"):
+    for name in (
+        "check",
+        "cluster-key",
+        "emulate",
+        "load",
+        "plot",
+        "search",
+        "serve",
+        "soak",
+        "sweep",
+        "version",
+    ):
         assert f"  {name} " in result.stdout
     assert CliRunner().invoke(cli, ["version"]).stdout == f"{VERSION}\n"
 
