--- a/tests/node/test_shutdown_races.py
+++ b/tests/node/test_shutdown_races.py
@@ -16,6 +16,7 @@
 from larchlatch.node.client_listener import ClientListener
 from larchlatch.node.clients import request_reader
 from larchlatch.node.clients.connections import ClientConnections
+from larchlatch.node.shutdown import GracefulShutdown
 from larchlatch.node.wire import stream
 from tests.support.clients import open_session
 from tests.support.configuration import node_configuration
@@ -170,6 +171,39 @@
     run_on_loopback(body)
 
 
+def test_clients_in_the_backlog_are_answered_before_a_node_without_other_clients_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a reset of the clients that are accepted last, while no other client is connected.
+
+    Found by `larchlatch soak --single --minutes 4 --seed 8`.
+    """
+    shutdowns: list[GracefulShutdown] = []
+
+    class RecordedShutdown(GracefulShutdown):
+        def __init__(self, *arguments: Any) -> None:
+            super().__init__(*arguments)
+            shutdowns.append(self)
+
+    monkeypatch.setattr(node_runtime, "GracefulShutdown", RecordedShutdown)
+
+    async def body(tasks: TaskGroup) -> None:
+        upstreams = await UpstreamStubs("UP r1").start(tasks)
+        port = await start_node_with(tasks, upstreams)
+        (shutdown,) = shutdowns
+        shutdown._listener.pause()
+        await shutdown._listener.idle.wait()
+        waiting = [connect_raw(port, data) for data in (request_line("a"), b"", b"half")]
+        shutdown._lifecycle.stop_duration_s = 0.0
+        shutdown._lifecycle.start_stop(anyio.current_time())
+        await shutdown.run()
+        for client in waiting:
+            assert (await send_and_read_all(client)).startswith(b"BUSY ")
+        assert not upstreams.lines
+
+    run_on_loopback(body)
+
+
 def test_a_node_that_ends_sheds_connections_accepted_by_the_system(
     client_connections: list[ClientConnections], monkeypatch: pytest.MonkeyPatch
 ) -> None:
