Soak: two holders and wrong silences count as broken; agreement is judged once it can be

The soak now waits up to 8 s for agreement, and the observer is told of the change of process before it, not after. The row's broken has two_holders and members_wrong.

--- a/larchlatch/loadtest/cluster_observer.py
+++ b/larchlatch/loadtest/cluster_observer.py
@@ -91,6 +91,15 @@
         for role in self.checkers.leaders:
             self.checkers.observe(RoleChanged(now_us(), role, node, held=False))
 
+    def process_changes(self, node: int) -> None:
+        """Record that another process is about to join the cluster for a node, and knows no other node yet.
+
+        The present process logs the end of its roles when it leaves.
+        """
+        self.read_logs()
+        self.node_runs(node, running=False)
+        self.checkers.observe(NodeStarted(now_us(), node))
+
     def node_runs(self, node: int, *, running: bool) -> None:
         """Record whether a node's process runs from now on."""
         self._running[node] = running
--- a/larchlatch/loadtest/node_fleet.py
+++ b/larchlatch/loadtest/node_fleet.py
@@ -146,11 +146,10 @@
         """
         node.admin_address = admin_address
         # The first process leaves the cluster, and the second one joins it when the first has ended.
-        self._observer.node_runs(node.number, running=False)
+        self._observer.process_changes(node.number)
         try:
             return await node.complete_hot_restart()
         finally:
-            self._observer.node_starts(node.number)
             self._observer.node_runs(node.number, running=True)
 
     @staticmethod
--- a/larchlatch/node/client_listener.py
+++ b/larchlatch/node/client_listener.py
@@ -92,7 +92,7 @@
             self._descriptors.reduce_capacity(1)
             self._tasks.start_soon(self._connections.serve, sock)
         self._listener.sock.close()
-        # A task counts its connection when it starts, and the stop waits for the connections that are counted.
+        # A task counts its connection when it starts, and the stop waits for those that are counted.
         await anyio.lowlevel.checkpoint()
 
     async def _accept_clients(self) -> None:
--- a/larchlatch/soak/run.py
+++ b/larchlatch/soak/run.py
@@ -46,7 +46,11 @@
 REMOVAL_AT_SHARE = 0.4  # of the soak, when a node is removed from the cluster
 CLUSTER_FILE_AFTER_S = 0.5  # from the end of the removed node to the others' new cluster files
 CLUSTER_FILE_SPREAD_S = 0.5  # within which all of them read the new file
+AGREEMENT_POLL_S = 0.1
+AGREEMENT_POLLS = 80
 EXCEPTION_KEY = "exception"  # of log rows about exceptions
+LOGGED_KEYS = (EXCEPTION_KEY,)
+CLUSTER_VIOLATIONS = ("two_holders", "members_wrong")  # figures of the cluster's checkers that have to be 0
 CLIENT_MESSAGE = b"still here\r\n"
 
 
@@ -68,6 +72,7 @@
         self.callers: list[FaultyCallers | FaultyRendezvousCallers] = []
         self._session_numbers = count(1)
         self._finished = False
+        self._logs = NodeLogReader([], LOGGED_KEYS)
         self._client_draws = self.streams.stream("soak sessions")
 
     def _create_stub(self, upstream: SimulatedUpstream, clients: dict[str, Client]) -> UpstreamStub:
@@ -79,7 +84,7 @@
     async def _start(self, folder: Path) -> None:
         self.fleet.has_admin_apis = True
         await super()._start(folder)
-        self._logs = NodeLogReader([self.fleet.log_file(node) for node in self.fleet.nodes], (EXCEPTION_KEY,))
+        self._logs = NodeLogReader([self.fleet.log_file(node) for node in self.fleet.nodes], LOGGED_KEYS)
         self._folder = folder
         await self.inspector.measure_idle()
 
@@ -98,9 +103,17 @@
             self.discovery_faults.stop()
             watch.cancel()
         if not self.inspector.ended.is_set():
+            await self._wait_for_agreement()
             await self.inspector.inspect_idle()
             self._finished = True
 
+    async def _wait_for_agreement(self) -> None:
+        """Wait until all nodes agree on the members, as the last operation may just have ended."""
+        for _ in range(AGREEMENT_POLLS):
+            if not self.checkers.membership.differing_pairs:
+                return
+            await anyio.sleep(AGREEMENT_POLL_S)
+
     async def _stop_processes(self) -> None:
         """Stop everything; the nodes gracefully, and checked, if the soak was played to its end."""
         if self._finished:
@@ -198,6 +211,7 @@
         """Return the figures of the finished soak, by the keys under which they are printed."""
         row = super().result_row()
         violations = {check.value: number for check, number in self.soak_observer.violations.items()}
+        violations |= {key: row[key] for key in CLUSTER_VIOLATIONS if key in row}
         faults = sum((caller.counts for caller in self.callers), Counter())
         return {
             **row,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -38,8 +38,8 @@
     assert not violations, "\n".join(violations)
     assert not any(row["broken"].values())
     if in_cluster:
-        assert row["over_budget"] == 0 and row["outside"] == 0 and row["two_holders"] == 0
-        assert row["members_wrong"] == 0 and row["agreed_s"] is not None
+        assert row["over_budget"] == 0 and row["outside"] == 0 and row["agreed_s"] is not None
+        assert row["broken"].keys() >= {"two_holders", "members_wrong"}
     assert set(row["operations"]) == set(Operation), "each operation must have been completed"
     assert row["delivered"] > 100
 
