--- a/review/8/case.py
+++ b/review/8/case.py
@@ -66,7 +66,8 @@
         if not await client.open() or not client.up:
             raise NotRunError("the node does not serve")
         client.close()
-    summary = f"{len(AFTER_START_S)} planned restarts; the process died in {len(failures)}: SIGHUP after {failures} s"
+    died = f"the process died in {len(failures)}, with SIGHUP after {failures} s"
+    summary = f"{len(AFTER_START_S)} planned restarts; {died}"
     record.note(summary)
     print(summary)
     return BROKEN if failures else HELD
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -285,6 +285,7 @@
         *,
         sockets: int,
         settings_changes: dict[str, Any] | None = None,
+        arguments: str = "",
     ) -> None:
         self.name = name
         self.port = free_port()
@@ -294,6 +295,7 @@
         self.log = folder / f"{name}.log"
         self.processes: list[subprocess.Popen[bytes]] = []
         self._record = record
+        self._arguments = arguments
         self.content = {
             "name": name,
             "listen": f"{LOOPBACK}:{self.port}",
@@ -311,6 +313,7 @@
     def start(self, control: int | None = None) -> subprocess.Popen[bytes]:
         """Start one process of the node; `control` is the port of its door for operators."""
         command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        command += self._arguments
         environment = {
             **os.environ,
             "EDGE_NAME": self.name,
