--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,12 +1,8 @@
 #!/bin/sh
-# Builds what the scripts of review/6 and up start besides the build of the deploy file. The stand-ins are Python of the
-# standard library and need no build, so they are only checked. Case 10 starts nodes with `--cluster`, which needs the
-# project's own requirements-cluster.txt; without these packages it exits with 2.
-set -e
-cd "$(dirname "$0")/.."
-.venv/bin/python -B -c '
-import ast, pathlib
-for path in [pathlib.Path("review/standins2.py"), *sorted(pathlib.Path("review").glob("[6-9]/case.py")), *pathlib.Path("review").glob("10/case.py")]:
-    ast.parse(path.read_text(), str(path))
-'
-.venv/bin/python -B -c 'import msgspec, nacl' 2>/dev/null || .venv/bin/pip -q install -r requirements-cluster.txt
+# Run after the build of the deploy file, for the cases from 6 on. Their stand-ins are Python of the standard library, in
+# review/standins2.py, so this only compiles them. Case 10 starts nodes with `--cluster`, which needs the project's own
+# requirements-cluster.txt (README); without these packages it exits with 2.
+cd "$(dirname "$0")/.." || exit 1
+.venv/bin/python -m compileall -q review || exit 1
+.venv/bin/python -c "import nacl, msgspec" 2>/dev/null || .venv/bin/pip -q install -r requirements-cluster.txt ||
+    echo "the packages of a cluster could not be installed: case 10 will exit with 2" >&2
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -27,7 +28,8 @@
     0.55  # STANDING.md: half a second after its time a request is lost; PROTOCOL.md: 50 ms on sockets
 )
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+BROKEN, HELD, NOT_RUN = 11, 0, 2  # exit codes; run.sh makes 1 of the first
+LONGEST_PLAY_S = 105.0  # a case that takes longer could not run
 
 
 class NotRunError(Exception):
@@ -541,23 +543,31 @@
 
 
 def main(folder: Path, play: Any) -> None:
-    """Play a case in a temporary folder, and exit with its result."""
+    """Play a case with a temporary folder for its nodes, and exit with its result."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # so that the nodes are ended
+    # A script that is started by nohup passes an ignored SIGHUP on to the nodes. The platform does not.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     record = Record(folder)
     result = NOT_RUN
     with tempfile.TemporaryDirectory(prefix="review-") as temporary:
         nodes: list[Node] = []
         try:
-            result = asyncio.run(play(record, Path(temporary), nodes))
+            result = asyncio.run(asyncio.wait_for(play(record, Path(temporary), nodes), LONGEST_PLAY_S))
         except NotRunError as error:
-            record.note(f"not run: {error}")
-            print(f"not run: {error}", file=sys.stderr)
+            record.note(f"could not run: {error}")
+            print(f"could not run: {error}", file=sys.stderr)
+        except Exception:  # also the end of LONGEST_PLAY_S
+            record.note(f"could not run: {traceback.format_exc()}")
+            traceback.print_exc()
         finally:
             for node in nodes:
                 node.end()
             for node in nodes if result != HELD else ():
-                tail = node.log.read_text(errors="replace").splitlines()[-5:]
-                for line in tail:
+                for line in node.log.read_text(errors="replace").splitlines()[-5:]:
                     record.note(f"log of {node.name}: {line[:400]}")
-            record.note(f"exit {result} (TROUBLE={int(trouble())})")
+            word = {BROKEN: "the rule was broken", HELD: "the rule held"}.get(
+                result, "the case could not run"
+            )
+            record.note(f"{word} (TROUBLE={int(trouble())})")
             record.close()
     sys.exit(result)
