The counters row tells who uses the file descriptors

Change: the rows 'counters' and 'stopped' have descriptors_in_use, descriptors_free, idle_clients and probe_connections.

--- a/larchlatch/node/components.py
+++ b/larchlatch/node/components.py
@@ -49,5 +49,9 @@
     drainer: SessionDrainer
 
     def figures(self) -> dict[str, int]:
-        """Return all counters, and the longest lag of the event loop since the last call in milliseconds."""
-        return {**self.counters.snapshot(), "lag_ms": self.lag_monitor.take_worst_ms()}
+        """Return all counters, who uses the descriptors, and the longest lag of the event loop.
+
+        The lag is in milliseconds, and counts since the last call.
+        """
+        descriptors = self.descriptors.figures()._asdict()
+        return {**self.counters.snapshot(), **descriptors, "lag_ms": self.lag_monitor.take_worst_ms()}
--- a/larchlatch/node/descriptor_budget.py
+++ b/larchlatch/node/descriptor_budget.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,6 +32,23 @@
         self.last_received_at = now
 
 
+class DescriptorFigures(NamedTuple):
+    """Who uses the descriptors of the budget; the names are those of fields in log rows.
+
+    Attributes:
+        descriptors_in_use: descriptors that are reserved.
+        descriptors_free: descriptors that may still be reserved; negative if the budget is exceeded.
+        idle_clients: connections of clients without a session, each with a reserved descriptor.
+        probe_connections: connections for probes.
+
+    """
+
+    descriptors_in_use: int
+    descriptors_free: int
+    idle_clients: int
+    probe_connections: int
+
+
 class DescriptorBudget:
     """Counts the descriptors in use, and evicts an idle connection if none is free.
 
@@ -43,6 +60,7 @@
         free: descriptors that may still be reserved; negative after the capacity was reduced by more than
             were free.
         idle_limit: how many idle connections may be open.
+        probe_connections: how many connections for probes are open.
 
     """
 
@@ -50,6 +68,7 @@
         self.capacity = max(2, max_descriptors - HEADROOM)
         self.free = self.capacity
         self.idle_limit = max(MIN_IDLE_CONNECTIONS, self.capacity // IDLE_DIVISOR)
+        self.probe_connections = 0
         # One group for each number of fragments, ordered by the time when data was last received.
         self._idle_by_fragments: list[dict[IdleConnection, None]] = [{} for _ in range(MAX_FRAGMENTS + 1)]
 
@@ -58,6 +77,11 @@
         """The number of descriptors that are reserved."""
         return self.capacity - self.free
 
+    @property
+    def idle_count(self) -> int:
+        """The number of idle connections of clients."""
+        return sum(map(len, self._idle_by_fragments))
+
     @property
     def scarce(self) -> bool:
         """Whether so few descriptors are free that sessions may soon need those of idle connections."""
@@ -83,11 +107,15 @@
         self.capacity -= count
         self.free -= count
 
+    def figures(self) -> DescriptorFigures:
+        """Return who uses the descriptors now."""
+        return DescriptorFigures(self.in_use, self.free, self.idle_count, self.probe_connections)
+
     def add_idle(self, connection: IdleConnection, now: float) -> None:
         """Add a connection that may be evicted until it is removed again."""
         # Without the limit, many clients that send nothing would leave no descriptor for others. A client
         # that sends its line at once is never evicted.
-        if sum(map(len, self._idle_by_fragments)) >= self.idle_limit:
+        if self.idle_count >= self.idle_limit:
             self.evict_idle(now)
         self._idle_by_fragments[0][connection] = None
 
--- a/larchlatch/node/probes.py
+++ b/larchlatch/node/probes.py
@@ -96,6 +96,7 @@
         self._connection = connection
         # The descriptor comes from the budget: probe connections to many upstreams would exceed HEADROOM.
         self._descriptors.reduce_capacity(1)
+        self._descriptors.probe_connections += 1
         return connection
 
     async def _exchange(self, connection: LineConnection) -> wire.Pong | Ending | None:
@@ -110,6 +111,7 @@
             return answer
         self._connection = None
         self._descriptors.reduce_capacity(-1)
+        self._descriptors.probe_connections -= 1
         await connection.close()
         return answer if isinstance(answer, Ending) else None
 
