Connections for probes give way to clients and sessions, and end with their upstream

Cause: Prober kept a connection to each upstream that it ever probed. It took the descriptor out of the budget whether or not one was free, and gave it back only when a later probe over that connection failed. Nothing closed it when descriptors were short or when its upstream left the list, so ClientListener._take_descriptor waited for ever.

Change: such a connection reserves a descriptor; the budget limits them to 96 and to a third of it, and evicts the least recently used idle one before any client's connection. It is closed when its upstream accepts no sessions any more or moves. The descriptors that a predecessor reports now include its probe connections, whose idle ones it closes first. wait_until_idle counts a probe connection as in use, as the budget does now.

--- a/larchlatch/node/descriptor_budget.py
+++ b/larchlatch/node/descriptor_budget.py
@@ -1,4 +1,4 @@
-"""Counts the node's open file descriptors, and selects the idle connection to evict if none is free.
+"""Counts the node's open file descriptors, and selects the connection to evict if none is free.
 
 No I/O. Times are seconds of one monotonic clock, which the caller passes in.
 """
@@ -13,6 +13,8 @@
 HEADROOM = 48  # descriptors outside the budget: event loop, log, listeners, discovery, hot restart
 IDLE_DIVISOR = 3  # idle connections may use at most 1/IDLE_DIVISOR of the budget
 MIN_IDLE_CONNECTIONS = 8  # idle connections that may be open even if the budget is small
+MAX_PROBE_CONNECTIONS = 96  # to a few hosts of a large fleet; upstreams can accept only so many connections
+PROBE_DIVISOR = 3  # connections for probes may use at most 1/PROBE_DIVISOR of the budget
 MAX_FRAGMENTS = 3  # further fragments of a line do not postpone the eviction of its client any more
 
 
@@ -32,6 +34,18 @@
         self.last_received_at = now
 
 
+class IdleProbeConnection:
+    """A connection to an upstream that is kept open until the next probe.
+
+    Attributes:
+        evict: closes the connection before it returns.
+
+    """
+
+    def __init__(self, evict: Callable[[], None]) -> None:
+        self.evict = evict
+
+
 class DescriptorFigures(NamedTuple):
     """Who uses the descriptors of the budget; the names are those of fields in log rows.
 
@@ -39,7 +53,7 @@
         descriptors_in_use: descriptors that are reserved.
         descriptors_free: descriptors that may still be reserved; negative if the budget is exceeded.
         idle_clients: connections of clients without a session, each with a reserved descriptor.
-        probe_connections: connections for probes.
+        probe_connections: connections for probes, each with a reserved descriptor.
 
     """
 
@@ -50,7 +64,10 @@
 
 
 class DescriptorBudget:
-    """Counts the descriptors in use, and evicts an idle connection if none is free.
+    """Counts the descriptors in use, and evicts a connection that does no work if none is free.
+
+    Idle connections for probes are evicted first, as the next probe can connect again, then those of clients
+    that have no session.
 
     Args:
         max_descriptors: how many the process may have open; `HEADROOM` of them are not part of the budget.
@@ -69,6 +86,7 @@
         self.free = self.capacity
         self.idle_limit = max(MIN_IDLE_CONNECTIONS, self.capacity // IDLE_DIVISOR)
         self.probe_connections = 0
+        self._idle_probes: dict[IdleProbeConnection, None] = {}  # the least recently used first
         # One group for each number of fragments, ordered by the time when data was last received.
         self._idle_by_fragments: list[dict[IdleConnection, None]] = [{} for _ in range(MAX_FRAGMENTS + 1)]
 
@@ -85,15 +103,38 @@
     @property
     def scarce(self) -> bool:
         """Whether so few descriptors are free that sessions may soon need those of idle connections."""
-        return self.free < self.capacity // IDLE_DIVISOR
+        return self.free + len(self._idle_probes) < self.capacity // IDLE_DIVISOR
+
+    @property
+    def probe_limit(self) -> int:
+        """How many connections for probes may be open."""
+        return max(1, min(MAX_PROBE_CONNECTIONS, self.capacity // PROBE_DIVISOR))
 
     def reserve(self, now: float) -> bool:
         """Reserve a descriptor, if necessary by evicting an idle connection; return False if that fails."""
-        if self.free <= 0 and not self.evict_idle(now):
+        if self.free <= 0 and not self.evict_idle_probe() and not self.evict_idle(now):
+            return False
+        self.free -= 1
+        return True
+
+    def reserve_for_probe(self) -> bool:
+        """Reserve a descriptor for a connection for probes; return False if that fails.
+
+        If none is free, or the limit is reached, only an idle connection for probes is evicted.
+        """
+        if self.free <= 0 or self.probe_connections >= self.probe_limit:
+            self.evict_idle_probe()
+        if self.free <= 0 or self.probe_connections >= self.probe_limit:
             return False
         self.free -= 1
+        self.probe_connections += 1
         return True
 
+    def release_probe(self) -> None:
+        """Release the descriptor of a connection for probes that is closed."""
+        self.probe_connections -= 1
+        self.release()
+
     def release(self) -> None:
         """Release one reserved descriptor."""
         self.free += 1
@@ -107,6 +148,31 @@
         self.capacity -= count
         self.free -= count
 
+    def add_idle_probe(self, connection: IdleProbeConnection) -> None:
+        """Add a connection for probes that may be evicted until it is removed again."""
+        self._idle_probes[connection] = None
+
+    def remove_idle_probe(self, connection: IdleProbeConnection) -> None:
+        """Remove a connection for probes that is used again or was closed; no effect if it was evicted."""
+        self._idle_probes.pop(connection, None)
+
+    def evict_idle_probe(self) -> bool:
+        """Evict the least recently used idle connection for probes; return False if there is none.
+
+        Its descriptor is released before this returns.
+        """
+        connection = next(iter(self._idle_probes), None)
+        if connection is None:
+            return False
+        self.remove_idle_probe(connection)
+        connection.evict()
+        return True
+
+    def evict_all_idle_probes(self) -> None:
+        """Evict all idle connections for probes, because another process needs their descriptors."""
+        while self.evict_idle_probe():
+            pass
+
     def figures(self) -> DescriptorFigures:
         """Return who uses the descriptors now."""
         return DescriptorFigures(self.in_use, self.free, self.idle_count, self.probe_connections)
--- a/larchlatch/node/hot_restart/predecessor.py
+++ b/larchlatch/node/hot_restart/predecessor.py
@@ -146,6 +146,7 @@
         self._lifecycle.successor_serves = True
         self._client_listener.pause()
         self._connections.sessions.hand_sessions_to(SessionSender(channel, self._balancer_actor).send)
+        self._descriptors.evict_all_idle_probes()
         # Each session without an upstream may still need a descriptor here; the successor gets all others.
         reserved_count = min(max(0, self._descriptors.free), self._sessions_without_upstream())
         transferred_count = self._descriptors.free - reserved_count
--- a/larchlatch/node/upstream_actor.py
+++ b/larchlatch/node/upstream_actor.py
@@ -66,12 +66,15 @@
 
     def update_target(self, address: tuple[str, int], *, accepts_sessions: bool) -> None:
         """Take over the upstream's address and readiness from the endpoint list."""
+        if address != self.target.address or not accepts_sessions:
+            self.prober.close_idle()
         self.target.address = address
         self.target.accepts_sessions = accepts_sessions
 
     def refuse_sessions(self) -> None:
         """Start no more attempts for new sessions, as the upstream is no longer in the endpoint list."""
         self.target.accepts_sessions = False
+        self.prober.close_idle()
 
     def offer(self, order: Order) -> bool:
         """Put an order into the mailbox without waiting; return False if the mailbox is full."""
--- a/larchlatch/node/wire/stream.py
+++ b/larchlatch/node/wire/stream.py
@@ -192,6 +192,12 @@
                 self._socket().setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             await self.stream.aclose()
 
+    def abort(self) -> None:
+        """Close the connection without waiting; data that was not sent yet is lost."""
+        if not self.closed:
+            self.closed = True
+            StreamBuffers(self.stream).abort()
+
     async def _linger(self, linger_s: float) -> None:
         """End this side, and read and discard what the other side still sends.
 
--- a/tests/support/races.py
+++ b/tests/support/races.py
@@ -80,8 +80,8 @@
                 not upstream_actor.attempts.in_flight and not upstream_actor.session_watch.sessions
                 for upstream_actor in balancer_actor.upstreams.actors.values()
             )
-            and connections.descriptors.free
-            == connections.descriptors.capacity - 1  # one is reserved for the next client
+            and connections.descriptors.in_use
+            == connections.descriptors.probe_connections + 1  # one is reserved for the next client
         )
     )
 
