Signals are handled during a node's start, and a stop counts its time from its signal

Cause: run_node opened the client listener, waited up to 1 s for the first endpoint list, and only then began to handle signals. GracefulShutdown spread its migrations over the longest deadline from that moment on.

Change: SignalHandler runs from before the admin API's start on. It records the start of the stop and sets stop_requested, on which the task of GracefulShutdown waits; its end is computed from the signal's time. A node that is told to stop during its start serves, but never reports ready (PING: NO, admin API: 503). A successor that does not serve yet ends at once (stopped_before_serving). New log event accepting_clients.

test_sigterm_during_another_operation[start] expected 'serving' before 'stopping', which was this fault; it now expects 'stopping' first, then both that followed. test_a_fault_in_the_handling_of_a_signal waits for stop_requested instead of a stub of the shutdown. DiscoveryStub accepts a caller that ends before its request.

--- a/larchlatch/node/components.py
+++ b/larchlatch/node/components.py
@@ -29,6 +29,7 @@
         descriptors: the budget of file descriptors that the node may have open.
         lifecycle: whether the node is ready, draining or stopping.
         ready: set once the node can serve.
+        stop_requested: set once the node has been told to stop.
         discovery: follows the endpoint list.
         cluster: this node's part in its cluster; None for a node without a cluster.
         balancer_actor: places sessions on upstreams.
@@ -42,6 +43,7 @@
     descriptors: DescriptorBudget
     lifecycle: LifecycleState
     ready: anyio.Event
+    stop_requested: anyio.Event
     discovery: DiscoveryClient
     cluster: ClusterPort | None
     balancer_actor: BalancerActor
--- a/larchlatch/node/lifecycle_state.py
+++ b/larchlatch/node/lifecycle_state.py
@@ -20,6 +20,7 @@
         stop_duration_s: time from the start of the stop until all sessions have to have left.
         sessions_outlive_node: established sessions need not leave, as packets pass through the node and other
             nodes can continue to forward them.
+        serves: whether this process accepts clients, or is about to take them over from its predecessor.
         ready: whether the node can serve.
         drain_started_at: when the current drain started; None if there is none.
         stop_started_at: when the stop started; None before the stop.
@@ -31,6 +32,7 @@
     def __init__(self, stop_duration_s: float, *, sessions_outlive_node: bool) -> None:
         self.stop_duration_s = stop_duration_s
         self.sessions_outlive_node = sessions_outlive_node
+        self.serves = False
         self.ready = False
         self.drain_started_at: float | None = None
         self.stop_started_at: float | None = None
--- a/larchlatch/node/runtime.py
+++ b/larchlatch/node/runtime.py
@@ -70,17 +70,19 @@
             # The admin API starts first, so that it can report that the node can't serve yet.
             admin_listener = bind_admin_listener(configuration)
             components = build_components(configuration, cluster_factory, tasks)
+            # A stop counts its time from its signal, so signals are handled during all waits that follow.
+            signal_handler = SignalHandler(configuration, configuration_path, components)
+            tasks.start_soon(signal_handler.run, signals)
             start_background_tasks(admin_listener, components, tasks)
             rendezvous = Rendezvous.for_node(configuration)
             successor = await connect_to_predecessor(configuration, rendezvous, components.counters)
             start_balancing(newest_endpoint_list(configuration.known_endpoints, successor), components, tasks)
             client_listener = start_client_listener(configuration, successor, components, tasks)
+            start_waiting_for_stop(client_listener, components, tasks)
             await open_to_clients(client_listener, successor, components, tasks)
             start_waiting_for_successor(configuration, rendezvous, client_listener, components, tasks)
             announce_ready(configuration, client_listener.address, components)
             task_status.started(client_listener.address[1])
-            shutdown = build_shutdown(client_listener, components, tasks)
-            await SignalHandler(configuration, configuration_path, components, shutdown, tasks).run(signals)
     log.info("stopped", **components.figures())
 
 
@@ -116,6 +118,7 @@
     )
     lifecycle = build_lifecycle_state(configuration)
     ready = anyio.Event()
+    stop_requested = anyio.Event()
     connections = build_client_connections(
         configuration, balancer_actor, descriptors, counters, ready, lifecycle
     )
@@ -125,6 +128,7 @@
         descriptors=descriptors,
         lifecycle=lifecycle,
         ready=ready,
+        stop_requested=stop_requested,
         discovery=discovery,
         cluster=cluster,
         balancer_actor=balancer_actor,
@@ -261,19 +265,27 @@
     state over, and then accepts clients.
     """
     if successor is None:
-        client_listener.open()
+        components.lifecycle.serves = True
+        accept_clients(client_listener)
     with anyio.move_on_after(FIRST_LIST_WAIT_S):
         await components.discovery.first_update.wait()
     if successor is None:
         return
     # Until here the predecessor accepts new clients, as this process was not ready to serve them.
+    components.lifecycle.serves = True
     await successor.take_over_state(components)
     tasks.start_soon(successor.run, components.connections, tasks)
-    client_listener.open()
+    accept_clients(client_listener)
     if components.lifecycle.draining:
         components.drainer.start()
 
 
+def accept_clients(client_listener: ClientListener) -> None:
+    """Begin to accept clients."""
+    client_listener.open()
+    log.info("accepting_clients", listen=client_listener.address)
+
+
 def start_waiting_for_successor(
     configuration: NodeConfiguration,
     rendezvous: Rendezvous | None,
@@ -286,20 +298,25 @@
         tasks.start_soon(Predecessor(configuration, rendezvous, client_listener, components).run)
 
 
-def build_shutdown(
+def start_waiting_for_stop(
     client_listener: ClientListener, components: NodeComponents, tasks: TaskGroup
-) -> GracefulShutdown:
-    """Create the component that stops the node gracefully."""
-    return GracefulShutdown(
+) -> None:
+    """Start to wait for the request to stop, which ends the node gracefully."""
+    shutdown = GracefulShutdown(
         components.lifecycle, components.connections, components.drainer, client_listener, tasks
     )
+    tasks.start_soon(shutdown.run_when_requested, components.stop_requested)
 
 
 def announce_ready(
     configuration: NodeConfiguration, address: tuple[str, int], components: NodeComponents
 ) -> None:
-    """Announce to the admin API, to waiting clients and in the log that the node serves."""
-    components.lifecycle.ready = True
+    """Announce to the admin API, to waiting clients and in the log that the node serves.
+
+    A node that was told to stop during its start serves until its end, but never reports that it is ready: a
+    front would send further clients to it, and an operator would end its predecessor.
+    """
+    components.lifecycle.ready = not components.lifecycle.stopping
     components.ready.set()
     log.info(
         "serving",
--- a/larchlatch/node/shutdown.py
+++ b/larchlatch/node/shutdown.py
@@ -109,6 +109,18 @@
         self._listener = listener
         self._tasks = tasks
 
+    async def run_when_requested(self, requested: anyio.Event) -> None:
+        """Wait for the request to stop, then end the node.
+
+        A process that does not serve yet ends at once, and leaves the clients to its predecessor.
+        """
+        await requested.wait()
+        if self._lifecycle.serves:
+            await self.run()
+        else:
+            log.info("stopped_before_serving")
+            self._tasks.cancel_scope.cancel()
+
     async def run(self) -> None:
         """Release the sessions, answer all clients, close the listener, and cancel the node's tasks."""
         log.info("stopping", sessions=len(self._connections.sessions.established))
@@ -126,16 +138,20 @@
         self._tasks.cancel_scope.cancel()
 
     async def _finish_requests(self) -> None:
-        reject_at = anyio.current_time() + self._lifecycle.stop_duration_s - EARLY_REJECTION_S
-        # Until `reject_at`, a front that has not noticed the stop may send new clients here, unless a
-        # successor accepts them. Clients that are already connected to this process are answered by it.
+        # Until then, a front that has not noticed the stop may send new clients here, unless a successor
+        # accepts them. Clients that are already connected to this process are answered by it.
         while self._connections.sessions.open_count > 0 or (
-            anyio.current_time() < reject_at and not self._all_requests_received()
+            self._may_receive_requests() and not self._all_requests_received()
         ):
-            if anyio.current_time() >= reject_at:
+            if not self._may_receive_requests():
                 self._connections.reject_all()
             await anyio.sleep(ROUND_INTERVAL_S)
 
+    def _may_receive_requests(self) -> bool:
+        """Return whether enough of the time for the stop is left to answer a request that arrives now."""
+        time_left_s = self._lifecycle.time_left_s(anyio.current_time())
+        return time_left_s is not None and time_left_s > EARLY_REJECTION_S
+
     def _all_requests_received(self) -> bool:
         """Return whether a successor accepts new clients, and all clients here have sent their requests."""
         return self._lifecycle.hands_over_sessions and not self._connections.reader.without_line
--- a/larchlatch/node/signal_handler.py
+++ b/larchlatch/node/signal_handler.py
@@ -16,11 +16,8 @@
     from collections.abc import AsyncIterator
     from pathlib import Path
 
-    from anyio.abc import TaskGroup
-
     from larchlatch.config.node import NodeConfiguration
     from larchlatch.node.components import NodeComponents
-    from larchlatch.node.shutdown import GracefulShutdown
 
 # The signals that a node handles. By default each ends the process, so all are handled from its start.
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
@@ -37,14 +34,10 @@
         configuration: NodeConfiguration,
         path: Path,
         components: NodeComponents,
-        shutdown: GracefulShutdown,
-        tasks: TaskGroup,
     ) -> None:
         self._configuration = configuration  # that is in force; a reload replaces it
         self._configuration_path = path  # of the configuration file
         self._components = components
-        self._shutdown = shutdown
-        self._tasks = tasks
 
     async def run(self, signals: AsyncIterator[signal.Signals]) -> None:
         """Handle signals until cancelled; a fault in the handling of one ends it alone."""
@@ -88,10 +81,10 @@
             log.info("role_status", **role)
 
     def _begin_stop(self) -> None:
-        lifecycle = self._components.lifecycle
-        if lifecycle.stopping:
+        components = self._components
+        if components.lifecycle.stopping:
             return
-        lifecycle.start_stop(anyio.current_time())
-        self._tasks.start_soon(self._shutdown.run)
-        if self._components.cluster is not None:
-            self._components.cluster.resign()
+        components.lifecycle.start_stop(anyio.current_time())
+        components.stop_requested.set()
+        if components.cluster is not None:
+            components.cluster.resign()
--- a/tests/node/test_shutdown_races.py
+++ b/tests/node/test_shutdown_races.py
@@ -93,6 +93,7 @@
         async with node_process(path, event) as node:
             if operation == "start":
                 node.signal(signal.SIGTERM)
+                await node.next_event("stopping")
                 assert (await node.next_event("serving"))["upstreams"] == 1
             else:
                 waiting = await open_session(node.port)
@@ -101,7 +102,7 @@
                     node.signal(signal_number)
                 assert await waiting.line() == b"UP r1\r\n"
                 await waiting.close()
-            await node.next_event("stopping")
+                await node.next_event("stopping")
             await node.next_event("stopped")
             assert await node.exit_code() == 0
 
--- a/tests/node/test_task_faults.py
+++ b/tests/node/test_task_faults.py
@@ -179,14 +179,12 @@
         def fail(*_: object) -> Any:
             raise RuntimeError("from the test")
 
-        async def stop() -> None:
-            stopped.set()
-
         counters = Counters()
         lifecycle = LifecycleState(1.0, sessions_outlive_node=False)
         components: Any = SimpleNamespace(
             counters=counters,
             lifecycle=lifecycle,
+            stop_requested=stopped,
             figures=fail,
             discovery=None,
             cluster=SimpleNamespace(reload=fail, resign=fail),
@@ -197,9 +195,8 @@
             for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM, signal.SIGTERM):
                 yield number
 
-        graceful: Any = SimpleNamespace(run=stop)
         configuration: Any = None
-        handler = SignalHandler(configuration, Path("none.json"), components, graceful, tasks)
+        handler = SignalHandler(configuration, Path("none.json"), components)
         await handler.run(signals())
         await stopped.wait()
         assert counters.counts[SIGNAL_FAILED] == 4
--- a/tests/support/stand_ins.py
+++ b/tests/support/stand_ins.py
@@ -88,7 +88,11 @@
 
     async def serve(self, stream: SocketStream) -> None:
         async with stream:
-            request_line = (await stream.receive()).split(b"\r\n")[0].decode()
+            try:
+                request = await stream.receive()
+            except anyio.EndOfStream:
+                return  # the node has ended before it sent its request
+            request_line = request.split(b"\r\n")[0].decode()
             self.request_lines.append(request_line)
             await stream.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             if self.entry_lists:
