A node without free descriptors answers every client instead of leaving it in the backlog

Cause: ClientListener._take_descriptor accepts nobody while no descriptor is free and no idle connection can be evicted. Established sessions free none as long as they last, and what waits in the backlog has been taken.

Change: 16 descriptors, or an eighth of the budget if that is less, are kept for rejecting. After 0.25 s without a free one (policy/admission.py) clients are accepted with these, answered BUSY, or ERR if invalid, and closed; PING gets NO. A silent client gives way to later ones; at the stop all are answered. A descriptor that is released meanwhile serves the next client. What a predecessor tells its successor includes the ones in use. The advised wait is at most what the settings allow.

--- a/larchlatch/node/client_listener.py
+++ b/larchlatch/node/client_listener.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
+from enum import Enum, StrEnum
 from typing import TYPE_CHECKING
 
 import anyio
 import anyio.lowlevel
+import structlog
 
 from larchlatch.node.clients.connections import Answered
 from larchlatch.node.wire.listen import AcceptError
+from larchlatch.policy import admission
 
 if TYPE_CHECKING:
     import socket
@@ -22,6 +24,15 @@
 
 RETRY_S = 0.02  # pause after no descriptor was free or no connection could be accepted
 
+log = structlog.get_logger()
+
+
+class DescriptorUse(Enum):
+    """What the descriptor of a client's connection is for."""
+
+    SERVE = "serve"
+    REJECT = "reject"  # the node has no descriptor for a session; this one is of the reserve
+
 
 class ListenerCounter(StrEnum):
     """Names of the counters of the client listener."""
@@ -53,6 +64,8 @@
         self._tasks = tasks
         self._opened = anyio.Event()
         self._accept_scope = anyio.CancelScope()
+        self._exhausted_since: float | None = None  # since when no descriptor is free; None if one is
+        self._sheds = False  # whether clients are rejected because no descriptor is free
 
     @property
     def address(self) -> tuple[str, int]:
@@ -97,25 +110,56 @@
 
     async def _accept_clients(self) -> None:
         while True:
-            await self._take_descriptor()
-            sock = await self._accept()
+            use = await self._take_descriptor()
+            sock = await self._accept(use)
             if sock is None:
                 await anyio.sleep(RETRY_S)
                 continue
-            self._start(sock)
+            if use is DescriptorUse.REJECT and self._reserve_for_serving():
+                self._descriptors.rejections.release()
+                use = DescriptorUse.SERVE
+            if use is DescriptorUse.SERVE:
+                self._start(sock)
+            else:
+                self._tasks.start_soon(self._connections.reject_without_descriptor, sock)
             # Lets the tasks of accepted clients run, even while many others wait to be accepted.
             await anyio.lowlevel.checkpoint()
 
-    async def _take_descriptor(self) -> None:
-        paused = False
-        while not self._descriptors.reserve(anyio.current_time()):
-            # Until a descriptor is free, clients wait in the backlog.
-            if not paused:
-                paused = True
-                self._connections.counters.add(ListenerCounter.ACCEPT_PAUSED)
+    async def _take_descriptor(self) -> DescriptorUse:
+        """Wait until a descriptor is free to serve a client, or until clients have to be rejected."""
+        while not self._reserve_for_serving():
+            if self._sheds_clients() and self._descriptors.rejections.take():
+                return DescriptorUse.REJECT
+            # Until then, clients wait in the backlog.
             await anyio.sleep(RETRY_S)
-
-    async def _accept(self) -> socket.socket | None:
+        return DescriptorUse.SERVE
+
+    def _reserve_for_serving(self) -> bool:
+        """Reserve a descriptor to serve a client; return False, and note since when, if none is free."""
+        now = anyio.current_time()
+        if not self._descriptors.reserve(now):
+            if self._exhausted_since is None:
+                self._exhausted_since = now
+                self._connections.counters.add(ListenerCounter.ACCEPT_PAUSED)
+            return False
+        if self._sheds:
+            log.warning("descriptors_available", **self._descriptors.figures()._asdict())
+        self._exhausted_since = None
+        self._sheds = False
+        return True
+
+    def _sheds_clients(self) -> bool:
+        """Return whether clients are rejected because no descriptor is free; log when this begins."""
+        if self._exhausted_since is None or not admission.sheds_without_descriptor(
+            now_s=anyio.current_time(), exhausted_since_s=self._exhausted_since
+        ):
+            return False
+        if not self._sheds:
+            self._sheds = True
+            log.warning("descriptors_exhausted", **self._descriptors.figures()._asdict())
+        return True
+
+    async def _accept(self, use: DescriptorUse) -> socket.socket | None:
         """Accept a connection; release the reserved descriptor if there is none, also after cancellation."""
         sock = None
         try:
@@ -123,8 +167,10 @@
         except AcceptError:
             self._connections.counters.add(ListenerCounter.ACCEPT_FAILED)
         finally:
-            if sock is None:
+            if sock is None and use is DescriptorUse.SERVE:
                 self._descriptors.release()
+            elif sock is None:
+                self._descriptors.rejections.release()
         return sock
 
     def _start(self, sock: socket.socket) -> None:
--- a/larchlatch/node/clients/connections.py
+++ b/larchlatch/node/clients/connections.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from larchlatch.node.clients.rejecter import ClientRejecter
 from larchlatch.node.clients.request_reader import RequestReader
 from larchlatch.node.clients.requests import RejectionReason, UnreadRequest
 from larchlatch.node.clients.session_handler import SessionHandler
@@ -84,6 +85,7 @@
         self.requests = requests
         self.reader = RequestReader(descriptors, counters, ready, lifecycle)
         self.sessions = SessionHandler(balancer_actor, requests, descriptors, counters, lifecycle)
+        self._rejecter = ClientRejecter(requests, descriptors.rejections, counters)
         self._balancer_actor = balancer_actor
         self._lifecycle = lifecycle
 
@@ -170,6 +172,23 @@
             self.connection_count -= 1
             self.descriptors.release()
 
+    async def reject_without_descriptor(self, sock: socket.socket) -> None:
+        """Answer a client for whose session no descriptor is free; the connection uses one of the reserve."""
+        client: LineConnection | None = None
+        self.connection_count += 1
+        try:
+            with self._fault_barrier("connection_failed"):
+                client = await LineConnection.of_socket(sock)
+                if client is None:
+                    self.counters.add(ConnectionCounter.LOST)
+                else:
+                    await self._rejecter.reject(client)
+        finally:
+            if client is not None:
+                await client.close()
+            self.connection_count -= 1
+            self.descriptors.rejections.release()
+
     def _fault_barrier(self, event: str) -> FaultBarrier:
         return FaultBarrier(self.counters, counter=ConnectionCounter.FAILED, event=event)
 
@@ -221,6 +240,7 @@
         if not self._lifecycle.rejects_all:
             self._lifecycle.rejects_all = True
             self.reader.cancel_all()
+            self.descriptors.rejections.evict_all()
 
     async def adopt(self, packet: SessionHandover, sockets: list[socket.socket]) -> None:
         """Continue a session of the predecessor.
--- a/larchlatch/node/clients/requests.py
+++ b/larchlatch/node/clients/requests.py
@@ -97,6 +97,7 @@
 
     Attributes:
         ids: the session ids in use.
+        retry_after_us: the wait that is advised to clients that are rejected, in microseconds; 0 for none.
 
     """
 
@@ -106,6 +107,7 @@
         traffic_classes: Sequence[str],
         tenants: Iterable[str],
         max_deadline_us: int,
+        retry_after_us: int,
         lifecycle: LifecycleState,
     ) -> None:
         """Prepare the checks.
@@ -114,10 +116,13 @@
             traffic_classes: the names of the traffic classes, in the order of their numbers.
             tenants: the names of the tenants; empty if any tenant is accepted.
             max_deadline_us: the longest time that a client may wait, in microseconds.
+            retry_after_us: the wait that is advised to clients that are rejected, in microseconds; 0 if they
+                follow no advice.
             lifecycle: tells how much time is left before this node stops.
 
         """
         self.ids = SessionIds()
+        self.retry_after_us = retry_after_us
         self._traffic_classes = {name: index for index, name in enumerate(traffic_classes)}
         self._tenants = frozenset(tenants)
         self._max_deadline_us = max_deadline_us
--- a/larchlatch/node/descriptor_budget.py
+++ b/larchlatch/node/descriptor_budget.py
@@ -7,6 +7,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from larchlatch.node.rejection_reserve import RejectionReserve
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -54,6 +56,8 @@
         descriptors_free: descriptors that may still be reserved; negative if the budget is exceeded.
         idle_clients: connections of clients without a session, each with a reserved descriptor.
         probe_connections: connections for probes, each with a reserved descriptor.
+        rejected_clients: connections of clients that are rejected for want of descriptors; they use the
+            reserve, which is not part of the budget.
 
     """
 
@@ -61,6 +65,7 @@
     descriptors_free: int
     idle_clients: int
     probe_connections: int
+    rejected_clients: int
 
 
 class DescriptorBudget:
@@ -70,7 +75,8 @@
     that have no session.
 
     Args:
-        max_descriptors: how many the process may have open; `HEADROOM` of them are not part of the budget.
+        max_descriptors: how many the process may have open; `HEADROOM` of them and the reserve for rejected
+            clients are not part of the budget.
 
     Attributes:
         capacity: descriptors that may be in use.
@@ -78,11 +84,14 @@
             were free.
         idle_limit: how many idle connections may be open.
         probe_connections: how many connections for probes are open.
+        rejections: the reserve for clients that are rejected while no descriptor of the budget is free.
 
     """
 
     def __init__(self, max_descriptors: int) -> None:
-        self.capacity = max(2, max_descriptors - HEADROOM)
+        available = max(2, max_descriptors - HEADROOM)
+        self.rejections = RejectionReserve(available)
+        self.capacity = available - self.rejections.size
         self.free = self.capacity
         self.idle_limit = max(MIN_IDLE_CONNECTIONS, self.capacity // IDLE_DIVISOR)
         self.probe_connections = 0
@@ -175,7 +184,9 @@
 
     def figures(self) -> DescriptorFigures:
         """Return who uses the descriptors now."""
-        return DescriptorFigures(self.in_use, self.free, self.idle_count, self.probe_connections)
+        return DescriptorFigures(
+            self.in_use, self.free, self.idle_count, self.probe_connections, self.rejections.in_use
+        )
 
     def add_idle(self, connection: IdleConnection, now: float) -> None:
         """Add a connection that may be evicted until it is removed again."""
--- a/larchlatch/node/hot_restart/predecessor.py
+++ b/larchlatch/node/hot_restart/predecessor.py
@@ -176,7 +176,10 @@
         return StateHandover(
             balancer_state=self._balancer_actor.hand_over(),
             session_ids=list(self._connections.requests.ids.records),
-            descriptor_count=HEADROOM + self._descriptors.in_use + reserved_count,
+            descriptor_count=HEADROOM
+            + self._descriptors.in_use
+            + self._descriptors.rejections.in_use
+            + reserved_count,
             draining_for_s=None if draining_since is None else anyio.current_time() - draining_since,
             clock_offset_us=UNIX_OFFSET_US,
         )
--- a/larchlatch/node/runtime.py
+++ b/larchlatch/node/runtime.py
@@ -32,6 +32,7 @@
 from larchlatch.node.upstream_registry import UpstreamRegistry
 from larchlatch.node.wire.listen import Listener
 from larchlatch.policy.balancer import Balancer
+from larchlatch.policy.retries import RETRY_AFTER_US
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -182,6 +183,7 @@
         traffic_classes=configuration.traffic_class_names,
         tenants=configuration.tenants,
         max_deadline_us=configuration.max_deadline_us,
+        retry_after_us=min(RETRY_AFTER_US, configuration.settings.max_retry_after_us),
         lifecycle=lifecycle,
     )
     return ClientConnections(balancer_actor, requests, descriptors, counters, ready, lifecycle)
--- a/larchlatch/policy/admission.py
+++ b/larchlatch/policy/admission.py
@@ -16,6 +16,8 @@
 
 DRAIN_GRACE_S = 1.0  # time for the front-end load balancer to notice a drain and use other nodes
 
+EXHAUSTION_GRACE_S = 0.25  # without a free descriptor, until clients that connect are shed
+
 
 def session_deadline(*, received_us: int, wait_us: int, node_ends_at: int | None) -> int:
     """Return when a session must have its final answer, in microseconds.
@@ -78,6 +80,18 @@
     return drain_started_at_s is not None and now_s >= drain_started_at_s + DRAIN_GRACE_S
 
 
+def sheds_without_descriptor(*, now_s: float, exhausted_since_s: float) -> bool:
+    """Return whether a node sheds the clients that connect while all its descriptors are in use.
+
+    For a short time they wait, as sessions that end may soon release descriptors.
+
+    Args:
+        now_s: The present time in seconds.
+        exhausted_since_s: Since when no descriptor has been free, in seconds.
+    """
+    return now_s >= exhausted_since_s + EXHAUSTION_GRACE_S
+
+
 def sheds_undecided(session: Session) -> bool:
     """Return whether a session without a timely decision is shed.
 
--- a/tests/node/test_probe_connections.py
+++ b/tests/node/test_probe_connections.py
@@ -151,7 +151,7 @@
 
     async def body(tasks: TaskGroup) -> None:
         upstreams = await ProbedUpstreams().start(tasks, 40)
-        node = ProbedRegistry(upstreams.addresses, HEADROOM + 30)
+        node = ProbedRegistry(upstreams.addresses, HEADROOM + 34)  # four are the reserve for rejections
         for number in range(40):
             await node.probe(number)
         assert node.answered() == [True] * 40
--- a/tests/node/test_state_handover.py
+++ b/tests/node/test_state_handover.py
@@ -45,7 +45,11 @@
     balancer_actor: Any = SimpleNamespace(mailbox=mailbox, upstreams=upstreams, mean_setup_us=0)
     lifecycle = LifecycleState(5.0, sessions_outlive_node=False)
     requests = RequestChecker(
-        traffic_classes=["once"], tenants=[], max_deadline_us=3_000_000, lifecycle=lifecycle
+        traffic_classes=["once"],
+        tenants=[],
+        max_deadline_us=3_000_000,
+        retry_after_us=0,
+        lifecycle=lifecycle,
     )
     return ClientConnections(balancer_actor, requests, descriptors, counters, anyio.Event(), lifecycle)
 
