SIGHUP and SIGUSR1 end no process of a node, from its first instant to its last

Cause: both signals end a process by default, and a node handled them only when its event loop ran, after the interpreter's start, all imports and the reading of the configuration; at the end of a stop no longer.

SIGTERM and SIGINT end a process at once until they are handled: it has no client, and a stop that began late would miss its end.

--- a/larchlatch/node/runtime.py
+++ b/larchlatch/node/runtime.py
@@ -28,7 +28,8 @@
 from larchlatch.node.messages import EndpointsChanged
 from larchlatch.node.metrics import Counters
 from larchlatch.node.shutdown import STOP_GRACE_S, STOP_MARGIN_S, GracefulShutdown, SessionDrainer
-from larchlatch.node.signal_handler import SIGNALS, SignalHandler
+from larchlatch.node.signal_handler import SignalHandler
+from larchlatch.node.signal_mask import SIGNALS, deliver_signals
 from larchlatch.node.upstream_registry import UpstreamRegistry
 from larchlatch.node.wire.listen import Listener
 from larchlatch.policy.balancer import Balancer
@@ -66,7 +67,7 @@
         task_status: reports the port for clients to the caller once the node can serve.
 
     """
-    with anyio.open_signal_receiver(*SIGNALS) as signals:
+    with anyio.open_signal_receiver(*SIGNALS) as signals, deliver_signals():
         async with anyio.create_task_group() as tasks:
             # The admin API starts first, so that it can report that the node can't serve yet.
             admin_listener = bind_admin_listener(configuration)
--- a/larchlatch/node/signal_handler.py
+++ b/larchlatch/node/signal_handler.py
@@ -19,8 +19,6 @@
     from larchlatch.config.node import NodeConfiguration
     from larchlatch.node.components import NodeComponents
 
-# The signals that a node handles. By default each ends the process, so all are handled from its start.
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 SIGNAL_FAILED = "signal_handling_failed"  # counter and log event of a fault in the handling of a signal
 
 log = structlog.get_logger()
