A cluster file with other terms no longer resets a node's count of admitted sessions

Cause: SharedQuotas._updated_account replaces an account whose terms change, and the new one counted from 0, while the node's records went on under the same incarnation. ClusterUsage takes the difference of two counts of an incarnation, or its first count, as all that was admitted.

Change: the new account goes on with the former one's counts, also if a file between the two had no such quota.

Result: tests/cluster/test_usage_range.py: 3 of 3 fail without the change, and pass with it. Tests of quotas and of term changes: 34 passed.

--- a/larchlatch/cluster/quota/shared_quotas.py
+++ b/larchlatch/cluster/quota/shared_quotas.py
@@ -16,7 +16,7 @@
 
     from larchlatch.cluster.election.fencing import OrderPermit
     from larchlatch.cluster.protocol.headers import RequestOrigin
-    from larchlatch.cluster.quota.settings import Quota, QuotaSettings, QuotaShare
+    from larchlatch.cluster.quota.settings import Quota, QuotaSettings
 
 
 class QuotaStatus(NamedTuple):
@@ -98,7 +98,7 @@
         self._former_loans_end_at = now
         # By the files that were read since the last `open`, or since the start of this process.
         self._longest_recovery_us = settings.loan_terms.recovery_us
-        self._removed_shares: dict[str, QuotaShare] = {}  # of quotas that a file removed, by their names
+        self._removed_accounts: dict[str, QuotaAccount] = {}  # of quotas that a file removed, by their names
 
     def admit(self, now: int, traffic_class: str) -> int:
         """Admit one session of a traffic class; return 0, or the microseconds after which to retry."""
@@ -182,8 +182,8 @@
         self._former_loans_end_at = max([self._former_loans_end_at, *ends])
         self._longest_recovery_us = max(self._longest_recovery_us, settings.loan_terms.recovery_us)
         accounts = {quota.name: self._updated_account(quota, settings, now) for quota in settings.quotas}
-        self._removed_shares |= {
-            name: account.share for name, account in self.accounts.items() if name not in accounts
+        self._removed_accounts |= {
+            name: account for name, account in self.accounts.items() if name not in accounts
         }
         self.accounts.clear()
         self.accounts.update(accounts)
@@ -201,10 +201,15 @@
         if former is not None and former.loan_terms == settings.loan_terms:
             former.change_share(share)
             return former
+        if former is None:
+            former = self._removed_accounts.pop(quota.name, None)
         # The recent use is counted in windows of the former length. In windows of the new length it is
         # unknown, as after a start. Loans go on by their former terms at nodes that have not read the file.
-        former_share = former.share if former is not None else self._removed_shares.pop(quota.name, share)
+        former_share = former.share if former is not None else share
         account = QuotaAccount(former_share, settings.loan_terms, now)
+        if former is not None:
+            # Other nodes take the difference of two reports as the number of sessions that were admitted.
+            account.spent, account.refused = former.spent, former.refused
         if not self._closed:
             account.open(now)
         account.full_share_at = max(account.full_share_at, self._former_loans_end_at)
--- /dev/null
+++ b/tests/cluster/test_usage_range.py
@@ -0,0 +1,130 @@
+"""The range of sessions that the cluster admitted contains their number, through restarts and file changes.
+
+Members exchange datagrams without I/O while processes are replaced in hot restarts, restarted or read other
+cluster files, and datagrams are lost or late.
+"""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import strategies as st
+
+from larchlatch.cluster.cluster_file import ClusterConfiguration
+from larchlatch.invariants.observations import QuotaUsageReported
+from tests.support.cluster_network import HEARTBEAT_US, Member, Network, cluster_file
+
+NAMES = "abc"
+CLOCKS_MS = 20
+STEP_US = HEARTBEAT_US // 4
+WARM_UP_STEPS = 100
+EVENT_COUNT = 12
+DEMAND = {"a": 3, "b": 1, "c": 1}  # requests of each node in a step
+
+window_lengths_ms = st.sampled_from([250, 500, 1000, 1000, 2000])
+terms_ms = st.sampled_from([3000, 3000, 4000, 9000])
+files = st.builds(
+    lambda window_ms, term_ms, floor: cluster_file(
+        NAMES, window_ms=window_ms, term_ms=term_ms, floor=floor, clocks_ms=CLOCKS_MS
+    ),
+    window_lengths_ms,
+    terms_ms,
+    st.sampled_from([0.25, 0.5, 1.0]),
+)
+
+
+class ChangingCluster(Network):
+    """A network whose members are replaced in hot restarts, restart, and read other cluster files.
+
+    Attributes:
+        successors: for each node in a hot restart, the process that admits sessions but sends nothing yet.
+
+    """
+
+    def __init__(self, configuration: ClusterConfiguration) -> None:
+        super().__init__(configuration, NAMES)
+        self.successors: dict[str, Member] = {}
+
+    def _process_that_admits(self, name: str) -> Member:
+        return self.successors.get(name, self.members[name])
+
+    def request_sessions(self, name: str, number: int, traffic_class: str = "all") -> None:
+        """Request sessions at the process of a node that accepts clients."""
+        predecessor = self.members[name]
+        self.members[name] = self._process_that_admits(name)
+        super().request_sessions(name, number, traffic_class)
+        self.members[name] = predecessor
+
+    def begin_hot_restart(self, name: str, configuration: ClusterConfiguration) -> None:
+        """Start a successor, which takes over a heartbeat after its start."""
+        if name in self.successors:
+            return
+        successor = Member(name, configuration, self.now, opens=False)
+        self.run_steps(HEARTBEAT_US // STEP_US, random.Random(0), lost=0.0)
+        successor.state.quotas.take_over(self.now, self.members[name].state.quotas.close(self.now))
+        self.successors[name] = successor
+
+    def end_hot_restart(self, name: str) -> None:
+        """End the predecessor; the successor gets its address and takes part in the cluster."""
+        if name in self.successors:
+            self.members[name] = self.successors.pop(name)
+            self.members[name].state.open(self.now)
+
+    def abort_hot_restart(self, name: str) -> None:
+        """End the successor; the predecessor admits sessions again."""
+        if self.successors.pop(name, None) is not None:
+            self.members[name].state.quotas.open(self.now)
+
+    def restart(self, name: str, configuration: ClusterConfiguration) -> None:
+        """Kill all processes of a node and start a new one."""
+        self.successors.pop(name, None)
+        self.members[name] = Member(name, configuration, self.now)
+
+    def run_steps(self, number: int, rng: random.Random, lost: float) -> None:
+        """Run heartbeats and requests; a part of the datagrams is lost, and half of the others are late."""
+        for _ in range(number):
+            for name in rng.sample(NAMES, len(NAMES)):
+                if self.now // STEP_US % (HEARTBEAT_US // STEP_US) == 0:
+                    self.heartbeat(name)
+                self.request_sessions(name, DEMAND[name])
+            rng.shuffle(self.in_flight)
+            for _ in range(len(self.in_flight) // 2 + 1):
+                if rng.random() < lost and self.in_flight:
+                    self.in_flight.pop()
+                self.deliver(0)
+            self.now += STEP_US
+            self.check_ranges()
+
+    def check_ranges(self) -> None:
+        for member in self.members.values():
+            usage = member.state.quota_usage
+            for quota_range in usage.ranges(self.now):
+                self.checker.observe(
+                    QuotaUsageReported(self.now, quota_range.least, quota_range.most, usage.span_us)
+                )
+
+
+@pytest.mark.parametrize(("term_ms", "window_ms"), [(4000, 1000), (3000, 500)])
+def test_file_with_other_terms_keeps_the_number_of_admitted_sessions(term_ms: int, window_ms: int) -> None:
+    """A count that begins again in the same process looks like a time without admissions."""
+    cluster = ChangingCluster(cluster_file(NAMES, clocks_ms=CLOCKS_MS))
+    cluster.run_steps(100, random.Random(1), lost=0.0)
+    quotas = cluster.members["a"].state.quotas
+    [before] = quotas.statuses(cluster.now)
+    changed = cluster_file(NAMES, clocks_ms=CLOCKS_MS, term_ms=term_ms, window_ms=window_ms)
+    cluster.members["a"].read(changed, cluster.now)
+    [after] = quotas.statuses(cluster.now)
+    assert (after.spent, after.refused) == (before.spent, before.refused)
+    assert before.spent > 0 and before.refused > 0
+
+
+def test_quota_that_a_file_removed_and_another_adds_again_keeps_its_count() -> None:
+    """Members that have read only the last of the files compare its count with that of the first."""
+    cluster = ChangingCluster(cluster_file(NAMES, clocks_ms=CLOCKS_MS))
+    cluster.run_steps(100, random.Random(1), lost=0.0)
+    member = cluster.members["a"]
+    spent = member.state.quotas.accounts["all"].spent
+    member.read(cluster_file(NAMES, quotas=(), clocks_ms=CLOCKS_MS), cluster.now)
+    member.read(cluster_file(NAMES, clocks_ms=CLOCKS_MS), cluster.now)
+    assert member.state.quotas.accounts["all"].spent == spent > 0
--- a/tests/support/cluster_network.py
+++ b/tests/support/cluster_network.py
@@ -49,7 +49,10 @@
 class Member:
     """One node with its exchange, which reads cluster files as `ClusterService.reload` does."""
 
-    def __init__(self, name: str, configuration: ClusterConfiguration, now: int) -> None:
+    def __init__(
+        self, name: str, configuration: ClusterConfiguration, now: int, *, opens: bool = True
+    ) -> None:
+        """Start a process of a node; unless it `opens`, another process of the node spends and promises."""
         self.name = name
         self.configuration = configuration
         rng = random.Random(name)
@@ -70,7 +73,8 @@
             now=now,
             random=rng,
         )
-        self.state.open(now)
+        if opens:
+            self.state.open(now)
         keys = {other: unsigned_key(other) for other in configuration.nodes}
         signer = UnsignedSigner(name)
         self.exchange = Exchange(
