The range of admitted sessions allows for members that still use a former quota

What operators saw: a node that has read a smaller quota (or one by a shorter window) names a range below what was admitted, as long as others use the former file and for ten windows after that.

Cause: ClusterUsage ignores records with another digest, so their origins have a gap, but it bounded the gap, and the range as a whole, by the new quota alone.

Change: until every member has reported the present file, a gap is bounded by the greatest amount that any file allows which this process has read; the whole range until ten windows after that. USAGE_WINDOWS moves to loan_terms.

--- a/larchlatch/cluster/quota/counts.py
+++ b/larchlatch/cluster/quota/counts.py
@@ -10,13 +10,14 @@
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
+from larchlatch.cluster.quota.loan_terms import USAGE_WINDOWS
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
 
     from larchlatch.cluster.protocol.messages import NodeRecord
-    from larchlatch.cluster.quota.settings import QuotaSettings
+    from larchlatch.cluster.quota.settings import Quota, QuotaSettings
 
-WINDOWS = 10  # number of latest quota windows in which admitted sessions are counted
 SAMPLE_INTERVAL_US = 100_000  # least time between two stored samples of one origin
 
 
@@ -36,7 +37,7 @@
 
 
 class UsageRange(NamedTuple):
-    """Bounds on the sessions that the cluster admitted in the last `WINDOWS` windows.
+    """Bounds on the sessions that the cluster admitted in the last `USAGE_WINDOWS` windows.
 
     Attributes:
         least: sessions that were certainly admitted.
@@ -58,7 +59,7 @@
 
 
 class OriginUsage(NamedTuple):
-    """One origin's use of one quota in the last `WINDOWS` windows, by its records.
+    """One origin's use of one quota in the last `USAGE_WINDOWS` windows, by its records.
 
     Attributes:
         least: sessions that were certainly admitted in these windows.
@@ -83,23 +84,35 @@
     def __init__(self, quota_settings: QuotaSettings, *, clock_difference_us: int) -> None:
         """Start without samples, for the quotas of one cluster file."""
         self.clock_difference_us = clock_difference_us
-        self.set_quotas(quota_settings)
+        self._former_settings: list[QuotaSettings] = []  # of files that other nodes may have used lately
+        self._begin_file(quota_settings)
 
     def set_quotas(self, quota_settings: QuotaSettings) -> None:
         """Use the quotas of another cluster file; samples of the former quotas are dropped."""
+        self._former_settings.append(self._quota_settings)
+        self._begin_file(quota_settings)
+
+    def _begin_file(self, quota_settings: QuotaSettings) -> None:
         self._quota_settings = quota_settings
         self._samples: dict[str, deque[Sample]] = {name: deque() for name in quota_settings.names}
+        self._file_used_since: dict[
+            str, int
+        ] = {}  # creation time of the first record with this file's digest
 
     @property
     def span_us(self) -> int:
         """Return the length of the interval that usage ranges cover, in microseconds."""
-        return WINDOWS * self._quota_settings.loan_terms.window_us
+        return USAGE_WINDOWS * self._quota_settings.loan_terms.window_us
 
     def receive(self, record: NodeRecord) -> None:
         """Add a sample from a node's record, which may be this node's own."""
         samples = self._samples.get(record.name)
-        if samples is None or record.config_digest != self._quota_settings.digest:
+        if samples is None:
             return
+        if record.config_digest != self._quota_settings.digest:
+            self._file_used_since.pop(record.name, None)
+            return
+        self._file_used_since.setdefault(record.name, record.created_us)
         admitted = tuple(share.spent for share in record.quota_reports)
         _append_thinned(samples, Sample(record.created_us, record.incarnation, admitted))
         oldest_us = record.created_us - self.span_us - 2 * self.clock_difference_us
@@ -108,6 +121,8 @@
 
     def ranges(self, wall_us: int) -> list[UsageRange]:
         """Return the usage range of each quota, in the order of the cluster file."""
+        if self._former_files_end_us(wall_us) < wall_us - self.span_us - self.clock_difference_us:
+            self._former_settings.clear()
         return [self._range(index, wall_us) for index in range(len(self._quota_settings.quotas))]
 
     def _range(self, quota_index: int, wall_us: int) -> UsageRange:
@@ -119,8 +134,11 @@
         reported = sum(usage.most for usage in usages.values())
         most = reported + self._most_unreported(gaps, quota_index, wall_us)
         reported_until_us = min((origin_gaps[-1].begin_us for origin_gaps in gaps.values()), default=wall_us)
-        limit = self._quota_settings.quotas[quota_index].sessions
-        return UsageRange(least, min(most, limit * WINDOWS), wall_us - reported_until_us)
+        # All settings are given here, as the range may include the time in which a former file was used.
+        most_allowed = self._most_allowed(
+            [self._quota_settings, *self._former_settings], quota_index, self.span_us
+        )
+        return UsageRange(least, min(most, most_allowed), wall_us - reported_until_us)
 
     def _origin_usage(self, samples: Iterable[Sample], quota_index: int, wall_us: int) -> OriginUsage:
         """Return the usage by one origin, summed over each pair of consecutive samples."""
@@ -165,27 +183,58 @@
         In each window, the origins with a gap may have used the whole quota except for the floors of the
         origins without a gap, which are never lent.
         """
-        quota = self._quota_settings.quotas[quota_index]
         window_us = self._quota_settings.loan_terms.window_us
-        floors = {name: self._quota_settings.share(quota, name).floor for name in gaps}
+        former_end_us = self._former_files_end_us(wall_us)
         earliest_us = wall_us - self.span_us - self.clock_difference_us
         end_us = wall_us + self.clock_difference_us
         most = 0
         while end_us > earliest_us:
-            reported_origins = [
-                name for name in gaps if not overlaps_gap(gaps[name], end_us - window_us, end_us)
-            ]
+            begin_us = end_us - window_us
+            reported_origins = [name for name in gaps if not overlaps_gap(gaps[name], begin_us, end_us)]
             if len(reported_origins) < len(gaps):
-                most += max(0, quota.sessions - sum(floors[name] for name in reported_origins))
+                former = self._former_settings if begin_us < former_end_us else []
+                most += self._most_allowed(
+                    [self._quota_settings, *former], quota_index, window_us, reported_origins
+                )
             end_us -= window_us
         return most
 
+    def _former_files_end_us(self, wall_us: int) -> int:
+        """Return the time until which a node may have used a former cluster file."""
+        if len(self._file_used_since) < len(self._samples):
+            return wall_us + self.clock_difference_us
+        return max(self._file_used_since.values(), default=wall_us) + self.clock_difference_us
+
+    def _most_allowed(
+        self,
+        settings: Iterable[QuotaSettings],
+        quota_index: int,
+        duration_us: int,
+        reported_origins: Sequence[str] = (),
+    ) -> int:
+        """Return how many sessions any of the files allows within a time, without some origins' floors.
+
+        A file never allows more than the one before it until all nodes use it.
+        """
+        name = self._quota_settings.quotas[quota_index].name
+        return max(
+            max(0, quota.sessions - _sum_of_floors(one, quota, reported_origins))
+            * -(-duration_us // one.loan_terms.window_us)
+            for one in settings
+            for quota in one.quotas
+            if quota.name == name
+        )
+
 
 def overlaps_gap(gaps: Sequence[Gap], begin_us: int, end_us: int) -> bool:
     """Return whether any of the gaps overlaps the interval from `begin_us` to `end_us`."""
     return any(gap.begin_us < end_us and gap.end_us > begin_us for gap in gaps)
 
 
+def _sum_of_floors(settings: QuotaSettings, quota: Quota, names: Iterable[str]) -> int:
+    return sum(settings.share(quota, name).floor for name in names if name in settings.names)
+
+
 def _append_thinned(samples: deque[Sample], sample: Sample) -> None:
     """Append a sample; drop the one before it if that is too close in time to its own predecessor."""
     same_incarnation = (
--- a/larchlatch/cluster/quota/loan_terms.py
+++ b/larchlatch/cluster/quota/loan_terms.py
@@ -5,6 +5,8 @@
 from math import ceil
 from typing import NamedTuple
 
+USAGE_WINDOWS = 10  # number of latest quota windows in which the sessions admitted by the cluster are counted
+
 
 class LoanTerms(NamedTuple):
     """The lengths that govern loans, equal on all nodes, in microseconds of each node's own clock.
@@ -31,3 +33,8 @@
         # Sessions that the borrower admits at the end of the term count for one more window. The lender waits
         # longest by its own clock if that clock is the fastest and the borrower's clock is the slowest.
         return ceil((1 + self.skew) * (self.term_us / (1 - self.skew) + self.window_us))
+
+    @property
+    def usage_span_us(self) -> int:
+        """Return the length of `USAGE_WINDOWS` windows by a node's clock, even if it is fast."""
+        return USAGE_WINDOWS * self.counting_window_us
--- a/larchlatch/loadtest/cluster_observer.py
+++ b/larchlatch/loadtest/cluster_observer.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from larchlatch.cluster.quota.counts import WINDOWS
+from larchlatch.cluster.quota.loan_terms import USAGE_WINDOWS
 from larchlatch.invariants.observations import (
     FleetChanged,
     MemberReported,
@@ -176,5 +176,5 @@
         # The time of the log line is used: the reported range does not include sessions that were admitted
         # between that time and the reading of the line.
         logged_us = round(logged_at.timestamp() * SECOND)
-        span_us = WINDOWS * us(self._scenario.cluster.window_s)
+        span_us = USAGE_WINDOWS * us(self._scenario.cluster.window_s)
         return QuotaUsageReported(logged_us, least, most, span_us)
--- a/tests/cluster/test_usage_range.py
+++ b/tests/cluster/test_usage_range.py
@@ -128,3 +128,14 @@
     member.read(cluster_file(NAMES, quotas=(), clocks_ms=CLOCKS_MS), cluster.now)
     member.read(cluster_file(NAMES, clocks_ms=CLOCKS_MS), cluster.now)
     assert member.state.quotas.accounts["all"].spent == spent > 0
+
+
+def test_range_allows_for_members_that_still_use_a_greater_quota() -> None:
+    """A member that has read a smaller quota gets no usable reports from those that have not."""
+    cluster = ChangingCluster(cluster_file(NAMES, clocks_ms=CLOCKS_MS))
+    rng = random.Random(1)
+    cluster.run_steps(WARM_UP_STEPS, rng, lost=0.0)
+    smaller = [{"name": "all", "links_per_s": 3, "tariffs": ["all"]}]
+    cluster.members["b"].read(cluster_file(NAMES, clocks_ms=CLOCKS_MS, budgets=smaller), cluster.now)
+    cluster.run_steps(WARM_UP_STEPS, rng, lost=0.0)
+    assert not cluster.checker.wrong_reports
