The range of admitted sessions contains what the new process of a hot restart admits

Cause: from the hand-over on the new process admits sessions, but reports none until it has the cluster address. The old process went on sending its last count, so the others took the time as reported without admissions.

Ruled out: lost records (none on loopback, and the test without I/O delivers all); the new process's own count.

Change: a process that has handed over reports no counts, so others see a gap, which the quota bounds. If its successor fails, it reports none for ten more windows. The first record of a process covers no time: its predecessor may have admitted sessions after its last report. Wire format and records of other versions unchanged.

--- a/larchlatch/cluster/quota/counts.py
+++ b/larchlatch/cluster/quota/counts.py
@@ -1,8 +1,8 @@
 """Estimates how many sessions the cluster admitted recently, by a lower and an upper bound. No I/O.
 
 Each node reports its own count in its records; other nodes keep samples of it (grow-only counters: Shapiro et
-al. 2011). Admissions that no record has reported yet are bounded by what the quota allows their nodes.
-Times are whole microseconds of Unix time.
+al. 2011). Two samples of one process cover the time between them. Admissions outside these times are bounded
+by what the quota allows their nodes. Times are whole microseconds of Unix time.
 """
 
 from __future__ import annotations
@@ -26,8 +26,9 @@
 
     Attributes:
         created_us: time at which the record was created.
-        incarnation: the origin's incarnation, which is the time of its start.
-        admitted: sessions admitted since that start, for each quota.
+        incarnation: the origin's incarnation, which differs from that of its earlier processes.
+        admitted: sessions admitted since the process started, for each quota; empty if the record has no such
+            counts, as another process of the node may admit sessions.
 
     """
 
@@ -35,6 +36,10 @@
     incarnation: int
     admitted: tuple[int, ...]
 
+    def continues(self, previous: Sample) -> bool:
+        """Return whether this sample and an earlier one are of one process, and both have counts or none."""
+        return previous.incarnation == self.incarnation and len(previous.admitted) == len(self.admitted)
+
 
 class UsageRange(NamedTuple):
     """Bounds on the sessions that the cluster admitted in the last `USAGE_WINDOWS` windows.
@@ -141,7 +146,11 @@
         return UsageRange(least, min(most, most_allowed), wall_us - reported_until_us)
 
     def _origin_usage(self, samples: Iterable[Sample], quota_index: int, wall_us: int) -> OriginUsage:
-        """Return the usage by one origin, summed over each pair of consecutive samples."""
+        """Return the usage by one origin, summed over each pair of consecutive samples.
+
+        The first sample of a process covers no time. The predecessor in a hot restart, which admitted
+        sessions until the process took over, may not have reported the last of them.
+        """
         start_us = wall_us - self.span_us
         difference_us = self.clock_difference_us
         least = most = 0
@@ -150,33 +159,19 @@
         previous: Sample | None = None
         for sample in samples:
             if quota_index >= len(sample.admitted):
+                previous = None
                 continue
-            if previous is not None and previous.incarnation == sample.incarnation:
-                since_us = previous.created_us
+            if previous is not None and sample.continues(previous):
                 admitted = sample.admitted[quota_index] - previous.admitted[quota_index]
+                least += admitted if previous.created_us - difference_us >= start_us else 0
+                most += admitted if sample.created_us + difference_us > start_us else 0
             else:
-                since_us, admitted = self._covered_by_first_sample(sample, quota_index, start_us)
-                gaps.append(Gap(known_until_us, since_us + difference_us))
-            if since_us - difference_us >= start_us:
-                least += admitted
-            if sample.created_us + difference_us > start_us:
-                most += admitted
+                gaps.append(Gap(known_until_us, sample.created_us + difference_us))
             known_until_us = max(known_until_us, sample.created_us - difference_us)
             previous = sample
         gaps.append(Gap(known_until_us, wall_us + difference_us))
         return OriginUsage(least, most, gaps)
 
-    def _covered_by_first_sample(self, sample: Sample, quota_index: int, start_us: int) -> tuple[int, int]:
-        """Return when the time that an incarnation's first sample covers begins, and its admissions.
-
-        The sample covers the incarnation from its start. If that start may lie before `start_us`, it is not
-        known how many of the admissions came later. Then the sample covers no time and counts no admissions;
-        it only serves as the starting point for the next sample.
-        """
-        if sample.incarnation < start_us + self.clock_difference_us:
-            return sample.created_us, 0
-        return sample.incarnation, sample.admitted[quota_index]
-
     def _most_unreported(self, gaps: Mapping[str, Sequence[Gap]], quota_index: int, wall_us: int) -> int:
         """Return the number of sessions that can have been admitted in the gaps.
 
@@ -237,9 +232,11 @@
 
 def _append_thinned(samples: deque[Sample], sample: Sample) -> None:
     """Append a sample; drop the one before it if that is too close in time to its own predecessor."""
-    same_incarnation = (
-        len(samples) > 1 and samples[-1].incarnation == samples[-2].incarnation == sample.incarnation
-    )
-    if same_incarnation and samples[-1].created_us < samples[-2].created_us + SAMPLE_INTERVAL_US:
+    if (
+        len(samples) > 1
+        and samples[-1].continues(samples[-2])
+        and sample.continues(samples[-1])
+        and samples[-1].created_us < samples[-2].created_us + SAMPLE_INTERVAL_US
+    ):
         samples.pop()
     samples.append(sample)
--- a/larchlatch/cluster/quota/shared_quotas.py
+++ b/larchlatch/cluster/quota/shared_quotas.py
@@ -94,6 +94,8 @@
         self._lender = Lender(own_name, settings, self.accounts, self._pools)
         self._all_agreed = False  # whether all members have once agreed on this cluster file
         self._closed = True  # whether another process of this node may be spending
+        self._handed_over = False  # whether this process has closed its accounts for a successor
+        self._reports_from = now  # time before which this process can't report all that its node admitted
         # Time at which all loans under former cluster files have ended, here and at other nodes.
         self._former_loans_end_at = now
         # By the files that were read since the last `open`, or since the start of this process.
@@ -126,7 +128,13 @@
         self._pools.set_lease(now, lease if self.settings.pooled and self._all_agreed else 0)
 
     def reports(self, now: int) -> list[QuotaReport]:
-        """Return the report on each quota for this node's record, in the order of the cluster file."""
+        """Return the report on each quota for this node's record, in the order of the cluster file.
+
+        There are none while another process of this node may admit sessions, or has done so in the time that
+        usage ranges cover: its admissions would be missing in a report.
+        """
+        if self._closed or now < self._reports_from:
+            return []
         return [QuotaReport(account.spent, account.spare(now)) for account in self.accounts.values()]
 
     def wants_loans(self, now: int) -> bool:
@@ -231,6 +239,9 @@
     def open(self, now: int) -> None:
         """Allow this process to spend; no other process of this node may do so now."""
         self._closed = False
+        if self._handed_over:
+            self._handed_over = False
+            self._reports_from = now + self.settings.loan_terms.usage_span_us
         for account in self.accounts.values():
             account.open(now, self._longest_recovery_us)
         self._longest_recovery_us = self.settings.loan_terms.recovery_us
@@ -238,6 +249,7 @@
     def close(self, now: int) -> dict[str, int]:
         """Stop spending; return the sessions admitted under each quota in the last window, by its name."""
         self._closed = True
+        self._handed_over = True
         return {name: account.close(now) for name, account in self.accounts.items()}
 
     def take_over(self, now: int, used: Mapping[str, int]) -> None:
--- a/tests/cluster/test_usage_range.py
+++ b/tests/cluster/test_usage_range.py
@@ -7,13 +7,19 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import pytest
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from larchlatch.cluster.cluster_file import ClusterConfiguration
+from larchlatch.cluster.protocol.messages import QuotaReport
+from larchlatch.cluster.quota.account import QuotaAccount
+from larchlatch.cluster.quota.counts import ClusterUsage, Sample
+from larchlatch.cluster.quota.shared_quotas import SharedQuotas
 from larchlatch.invariants.observations import QuotaUsageReported
-from tests.support.cluster_network import HEARTBEAT_US, Member, Network, cluster_file
+from tests.support.cluster_network import HEARTBEAT_US, SECOND_US, Member, Network, cluster_file
 
 NAMES = "abc"
 CLOCKS_MS = 20
@@ -105,6 +111,87 @@
                 )
 
 
+EVENTS = ("begin", "end", "abort", "restart", "read", "read")
+
+
+def play_event(cluster: ChangingCluster, event: str, name: str, configuration: ClusterConfiguration) -> None:
+    """Let an operator restart a node, or replace its cluster file."""
+    match event:
+        case "begin":
+            cluster.begin_hot_restart(name, configuration)
+        case "end":
+            cluster.end_hot_restart(name)
+        case "abort":
+            cluster.abort_hot_restart(name)
+        case "restart":
+            cluster.restart(name, configuration)
+        case _:
+            cluster.members[name].read(configuration, cluster.now)
+
+
+def changed_cluster(seed: int, drawn_files: list[ClusterConfiguration]) -> ChangingCluster:
+    """Return a cluster after a warm-up and some events that were drawn by seed."""
+    rng = random.Random(seed)
+    cluster = ChangingCluster(drawn_files[0])
+    cluster.run_steps(WARM_UP_STEPS, rng, lost=0.0)
+    for _ in range(EVENT_COUNT):
+        play_event(cluster, rng.choice(EVENTS), rng.choice(NAMES), rng.choice(drawn_files))
+        cluster.run_steps(rng.choice((1, 2, 10, 40)), rng, lost=rng.choice((0.0, 0.0, 0.3, 1.0)))
+    return cluster
+
+
+@settings(derandomize=True, max_examples=40, deadline=None)
+@given(st.lists(files, min_size=1, max_size=3), st.integers(0, 10**6))
+def test_range_contains_the_admitted_sessions_through_restarts_and_files(
+    drawn_files: list[ClusterConfiguration], seed: int
+) -> None:
+    """Guards against a process or a file whose admissions are in no report and in no gap."""
+    cluster = changed_cluster(seed, drawn_files)
+    assert cluster.checker.reports > 0
+    assert not cluster.checker.wrong_reports
+
+
+def cluster_after_an_aborted_hot_restart() -> ChangingCluster:
+    """Return a cluster in which no datagram left the predecessor while the successor admitted sessions."""
+    cluster = ChangingCluster(cluster_file(NAMES, clocks_ms=CLOCKS_MS, floor=1.0))
+    rng = random.Random(1)
+    cluster.run_steps(400, rng, lost=0.0)
+    cluster.begin_hot_restart("a", cluster.members["a"].configuration)
+    predecessor = cluster.members["a"]
+    while cluster.now < predecessor.state.quotas.accounts["all"].now + 6 * SECOND_US:
+        cluster.heartbeat("b")
+        cluster.heartbeat("c")
+        for _ in range(HEARTBEAT_US // STEP_US):
+            cluster.request_sessions("a", DEMAND["a"])
+            cluster.now += STEP_US
+        cluster.in_flight = [datagram for datagram in cluster.in_flight if datagram.recipient != "a"]
+        while cluster.in_flight:
+            cluster.deliver(0)
+    cluster.abort_hot_restart("a")
+    cluster.run_steps(100, rng, lost=0.0)
+    return cluster
+
+
+def test_range_has_room_for_a_successor_that_ended_before_any_report() -> None:
+    """The predecessor goes on in its incarnation: its reports must not cover the successor's time."""
+    assert not cluster_after_an_aborted_hot_restart().checker.wrong_reports
+
+
+def test_range_has_room_for_the_process_that_takes_over() -> None:
+    """The predecessor's records go on, and took the time of the successor's admissions as reported."""
+    cluster = ChangingCluster(cluster_file(NAMES, clocks_ms=CLOCKS_MS, floor=1.0))
+    rng = random.Random(1)
+    cluster.run_steps(400, rng, lost=0.0)
+    cluster.begin_hot_restart("a", cluster.members["a"].configuration)
+    cluster.run_steps(150, rng, lost=0.0)
+    assert not cluster.checker.wrong_reports
+    cluster.end_hot_restart("a")
+    cluster.run_steps(400, rng, lost=0.0)
+    assert not cluster.checker.wrong_reports
+    [usage] = cluster.members["b"].state.quota_usage.ranges(cluster.now)
+    assert usage.most - usage.least < 60, "all processes have reported for more than ten windows"
+
+
 @pytest.mark.parametrize(("term_ms", "window_ms"), [(4000, 1000), (3000, 500)])
 def test_file_with_other_terms_keeps_the_number_of_admitted_sessions(term_ms: int, window_ms: int) -> None:
     """A count that begins again in the same process looks like a time without admissions."""
@@ -139,3 +226,54 @@
     cluster.members["b"].read(cluster_file(NAMES, clocks_ms=CLOCKS_MS, budgets=smaller), cluster.now)
     cluster.run_steps(WARM_UP_STEPS, rng, lost=0.0)
     assert not cluster.checker.wrong_reports
+
+
+def report_always(quotas: SharedQuotas, now: int) -> list[QuotaReport]:
+    return [QuotaReport(account.spent, account.spare(now)) for account in quotas.accounts.values()]
+
+
+def report_after_handover(quotas: SharedQuotas, now: int) -> list[QuotaReport]:
+    return [] if quotas._closed else report_always(quotas, now)
+
+
+def always_continues(sample: Sample, previous: Sample) -> bool:
+    return len(previous.admitted) == len(sample.admitted)
+
+
+def count_from_zero(quotas: SharedQuotas, *args: object) -> QuotaAccount:
+    account = original_updated_account(quotas, *args)  # type: ignore[arg-type]
+    account.spent = 0
+    return account
+
+
+original_updated_account = SharedQuotas._updated_account
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "planted"),
+    [
+        pytest.param(SharedQuotas, "reports", report_always, id="a closed process reports"),
+        pytest.param(SharedQuotas, "_updated_account", count_from_zero, id="a file resets the count"),
+        pytest.param(Sample, "continues", always_continues, id="a process continues another one's count"),
+        pytest.param(
+            ClusterUsage, "_former_files_end_us", lambda usage, wall_us: 0, id="former quotas are forgotten"
+        ),
+    ],
+)
+def test_planted_faults_of_the_range_are_found(
+    monkeypatch: pytest.MonkeyPatch, owner: type, name: str, planted: Callable[..., object]
+) -> None:
+    """Shows that the property above sees each fault that it guards against."""
+    monkeypatch.setattr(owner, name, planted)
+    drawn_files = [
+        cluster_file(NAMES, clocks_ms=CLOCKS_MS),
+        cluster_file(NAMES, clocks_ms=CLOCKS_MS, term_ms=4000),
+        cluster_file(NAMES, clocks_ms=CLOCKS_MS, window_ms=250, floor=1.0),
+    ]
+    assert any(changed_cluster(seed, drawn_files).checker.wrong_reports for seed in range(60))
+
+
+def test_planted_report_after_an_aborted_hot_restart_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Shows that the test of an aborted hot restart finds a process that reports at once."""
+    monkeypatch.setattr(SharedQuotas, "reports", report_after_handover)
+    assert cluster_after_an_aborted_hot_restart().checker.wrong_reports
