A change of one upstream moves its own ring points instead of rebuilding the ring

Cause: UpstreamRing._rebuild looks at all 102,400 points and sorts them for each new upstream; Fleet.update lists all ready upstreams anew for each change.

Ruled out: hashing (5 us an upstream).

A gone upstream loses its points at once. The list of ready upstreams is made at the first placement after a change. An upstream that one list names twice no longer gets its points twice (found by the property).

--- a/larchlatch/policy/balancer.py
+++ b/larchlatch/policy/balancer.py
@@ -129,11 +129,11 @@
             whole: Whether this is the complete list, so that an upstream missing from it is gone.
             from_discovery: Whether the discovery service sent the list; otherwise it was stored earlier.
         """
-        updated = self.fleet.update(list(endpoints), whole=whole)
+        update = self.fleet.update(list(endpoints), whole=whole)
         self.node_backoff.longest_us = self._longest_node_backoff_us()
         if from_discovery:
             self.polling.answered()
-        self.ring.update(updated)
+        self.ring.update(update.named, update.gone)
 
     def discovery_failed(self, now: int) -> None:
         """Record that a poll of the endpoint list failed, or that the subscription to it was lost."""
@@ -186,6 +186,6 @@
 
         At this bound, all nodes together still send each upstream a session every `NODE_TRIAL_INTERVAL_US`.
         """
-        upstream_count = len(self.fleet.ready) or 1
+        upstream_count = self.fleet.ready_count or 1
         interval_us = NODE_TRIAL_INTERVAL_US * self.settings.nodes // upstream_count
         return max(LONGEST_NODE_BACKOFF_US, interval_us)
--- a/larchlatch/policy/ring.py
+++ b/larchlatch/policy/ring.py
@@ -4,11 +4,12 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from itertools import chain
 from typing import TYPE_CHECKING
 
 from xxhash import xxh3_64_intdigest
 
-from larchlatch.policy.structures import HASH_RANGE, HashRing
+from larchlatch.policy.structures import HASH_RANGE, HashRing, RingMember
 from larchlatch.policy.types import EndpointState
 
 if TYPE_CHECKING:
@@ -22,7 +23,7 @@
 
 # Ring points of an upstream.
 POINTS_PER_SIZE = 32  # with these, the shares of equal upstreams differ by about an eighth
-MAX_POINTS = 512  # limits the time of a rebuild to a few milliseconds
+MAX_POINTS = 512  # limits the time that a change of one upstream takes
 
 # Estimates of the size of a group.
 RECENT_SESSIONS = 64  # enough to detect a group that makes up a twentieth of all sessions
@@ -74,12 +75,26 @@
         """Record a session that has been established as a recent one."""
         self.recent_keys.append(self.affinity_key(session))
 
-    def update(self, updated: Iterable[Upstream]) -> None:
-        """Assign ring points to those of the updated upstreams that are new or have another size."""
-        present = [upstream for upstream in updated if upstream.state is not EndpointState.GONE]
-        changed = [upstream for upstream in present if upstream.ring_points != self._point_count(upstream)]
-        if changed:
-            self._rebuild(changed)
+    def update(self, updated: Iterable[Upstream], gone: Iterable[Upstream] = ()) -> None:
+        """Move the ring points of upstreams that are new or have another size, and remove those of gone ones.
+
+        Args:
+            updated: The upstreams that an endpoint list names.
+            gone: The other upstreams that are gone since the last update.
+        """
+        removed: list[RingMember] = []
+        added: list[RingMember] = []
+        for upstream in chain(updated, gone):
+            point_count = self._point_count(upstream)
+            if upstream.ring_points == point_count:
+                continue
+            if upstream.ring_points:
+                removed.append(_ring_member(upstream))
+            upstream.ring_points = point_count
+            if point_count:
+                added.append(_ring_member(upstream))
+        if removed or added:
+            self.hash_ring.change(removed=removed, added=added)
 
     def _position(self, session: Session) -> int:
         key = self.affinity_key(session)
@@ -87,26 +102,17 @@
             return int(self.random.uniform(0, HASH_RANGE))
         return xxh3_64_intdigest(key.to_bytes(8, "big"))
 
-    def _rebuild(self, changed: list[Upstream]) -> None:
-        """Replace the ring points of changed upstreams, and remove those of upstreams that are gone.
-
-        An upstream that is gone keeps its points until the next rebuild, and `successors` skips it. A rebuild
-        for each endpoint list would cost more time than all placements.
-        """
-        gone = [other for other in self.fleet.upstreams.values() if other.state is EndpointState.GONE]
-        self.hash_ring.remove({upstream.number for upstream in gone + changed})
-        for upstream in gone:
-            upstream.ring_points = 0
-        for upstream in changed:
-            upstream.ring_points = self._point_count(upstream)
-            self.hash_ring.add(upstream.number, upstream.name, upstream.ring_points)
-        self.hash_ring.sort()
-
     def _point_count(self, upstream: Upstream) -> int:
-        """Return the number of ring points of an upstream.
+        """Return the number of ring points of an upstream; 0 if it is gone.
 
-        It depends on the size of this upstream alone, so that a change of one upstream remaps few sessions.
+        It depends on this upstream alone, so that a change of one upstream remaps few sessions.
         """
+        if upstream.state is EndpointState.GONE:
+            return 0
         if not self.settings.weighted:
             return POINTS_PER_SIZE
         return min(MAX_POINTS, max(1, round(POINTS_PER_SIZE * upstream.size)))
+
+
+def _ring_member(upstream: Upstream) -> RingMember:
+    return RingMember(upstream.number, upstream.name, upstream.ring_points)
--- a/larchlatch/policy/upstream.py
+++ b/larchlatch/policy/upstream.py
@@ -166,12 +166,24 @@
     return sum(other.utilization * other.size for other in upstreams) / size if size else None
 
 
+class FleetUpdate(NamedTuple):
+    """The records that an endpoint list, or changes to it, concern.
+
+    Attributes:
+        named: The upstreams that it names, in its order.
+        gone: The upstreams that are gone as a complete list does not name them any more.
+    """
+
+    named: list[Upstream]
+    gone: list[Upstream]
+
+
 class Fleet:
     """All known upstreams; owns their records.
 
     Attributes:
         upstreams: The records by number, including those of upstreams that are gone.
-        ready: The records of the ready upstreams, in the order in which the upstreams became known.
+        ready_count: The number of ready upstreams.
         mean_session_load: Running mean of known session loads, in microseconds of work per second; 0 if none
             is known.
         next_check_at: When an upstream may next have a probe or migrations due, in microseconds.
@@ -179,10 +191,20 @@
 
     def __init__(self) -> None:
         self.upstreams: dict[int, Upstream] = {}
-        self.ready: list[Upstream] = []
+        self.ready_count = 0
+        self._ready: list[Upstream] | None = []  # the ready upstreams; None if they have to be listed again
         self.mean_session_load = 0.0
         self.next_check_at = 0
 
+    @property
+    def ready(self) -> list[Upstream]:
+        """The records of the ready upstreams, in the order in which the upstreams became known."""
+        if self._ready is None:
+            self._ready = [
+                upstream for upstream in self.upstreams.values() if upstream.state is EndpointState.READY
+            ]
+        return self._ready
+
     def schedule_check_now(self, now: int) -> None:
         """Record that an upstream may have a probe or migrations due now."""
         self.next_check_at = now
@@ -228,24 +250,38 @@
     def find_or_add(self, endpoint: Endpoint) -> Upstream:
         """Return the record of an endpoint's upstream, which is created if there is none."""
         if endpoint.upstream not in self.upstreams:
-            self.upstreams[endpoint.upstream] = Upstream(endpoint)
+            self.upstreams[endpoint.upstream] = Upstream(endpoint._replace(state=EndpointState.GONE))
         return self.upstreams[endpoint.upstream]
 
-    def update(self, endpoints: Collection[Endpoint], *, whole: bool) -> list[Upstream]:
-        """Apply an endpoint list, or changes to it, and return the records of its endpoints.
+    def update(self, endpoints: Collection[Endpoint], *, whole: bool) -> FleetUpdate:
+        """Apply an endpoint list, or changes to it, and return the records that it concerns.
 
         Args:
             endpoints: The endpoints.
             whole: Whether this is the complete list, so that an upstream missing from it is gone.
         """
-        updated = [self.find_or_add(endpoint) for endpoint in endpoints]
-        for upstream, endpoint in zip(updated, endpoints, strict=True):
+        named = [self.find_or_add(endpoint) for endpoint in endpoints]
+        for upstream, endpoint in zip(named, endpoints, strict=True):
+            self._count_state(upstream.state, endpoint.state)
             upstream.update_from(endpoint)
-        named = {upstream.number for upstream in updated}
-        for number, upstream in self.upstreams.items():
-            if whole and number not in named:
-                upstream.state = EndpointState.GONE
-        self.ready = [
-            upstream for upstream in self.upstreams.values() if upstream.state is EndpointState.READY
+        gone = self._missing_from(named) if whole else []
+        for upstream in gone:
+            self._count_state(upstream.state, EndpointState.GONE)
+            upstream.state = EndpointState.GONE
+        return FleetUpdate(named, gone)
+
+    def _count_state(self, former: EndpointState, state: EndpointState) -> None:
+        """Count an upstream whose state changes from `former` to `state`."""
+        change = (state is EndpointState.READY) - (former is EndpointState.READY)
+        if change:
+            self.ready_count += change
+            self._ready = None
+
+    def _missing_from(self, named: Collection[Upstream]) -> list[Upstream]:
+        """Return the upstreams that are not among the named ones and were not gone before."""
+        numbers = {upstream.number for upstream in named}
+        return [
+            upstream
+            for number, upstream in self.upstreams.items()
+            if number not in numbers and upstream.state is not EndpointState.GONE
         ]
-        return updated
