What a node keeps for an upstream ends with it, instead of never

Cause: nothing ended the balancer's record, the number, the entry and the actor with its mailbox and tasks.

Change: policy/retention.py finds once a second the upstreams that are gone and to which no session refers. Their actors end, and start again if they return.

--- a/larchlatch/node/balancer_actor.py
+++ b/larchlatch/node/balancer_actor.py
@@ -121,7 +121,8 @@
 
     def upstream_rows(self) -> list[UpstreamRow]:
         """Return one status row for each upstream, for operators."""
-        return upstream_rows(upstream_statuses(self.balancer, now_us()), self.upstreams.actors)
+        statuses = upstream_statuses(self.balancer, now_us())
+        return upstream_rows(statuses, self.upstreams.actors, self.upstreams.names)
 
     def _handle_safely(self, message: messages.Message) -> None:
         """Handle one message; if that raises an exception, a session that waits for the decision fails."""
@@ -246,6 +247,8 @@
             due = self.balancer.due_actions(now)
             self._carry_out_due(now, due)
             wake_at = now + due.wait_us
+            sessions = (record.session for record in self.records.values())
+            self.upstreams.release(self.balancer.release_gone(now, sessions))
         next_retry_at = self._held.next_retry_at()
         if next_retry_at is not None:
             wake_at = min(wake_at, next_retry_at)
--- a/larchlatch/node/clients/session_handler.py
+++ b/larchlatch/node/clients/session_handler.py
@@ -200,7 +200,7 @@
         upstreams = self._balancer_actor.upstreams
         number = upstreams.number_of(upstream)
         attempt = StartAttempt(record, record.session.deadline)
-        if number is None or not upstreams.actors[number].offer(attempt):
+        if number is None or not upstreams.actor(number).offer(attempt):
             record.set_final_answer(Failed())
 
     async def _watch_client(self, client: LineConnection, record: SessionRecord) -> None:
@@ -258,7 +258,7 @@
             outcome_at_end: the outcome that the balancer records if the upstream ends its connection.
 
         """
-        actor = self._balancer_actor.upstreams.actors[delivered.upstream]
+        actor = self._balancer_actor.upstreams.actor(delivered.upstream)
         number = record.session.number
         watched = actor.session_watch.sessions
         watched[number] = self.established[number] = record
@@ -279,7 +279,7 @@
         """Relay a session; return how it ended at this node, or None if the successor continues it."""
         if delivered.line and not await client.send(delivered.line):
             return RelayEnd(Side.CLIENT, Ending.RESET, Outcome.CANCELLED)
-        actor = self._balancer_actor.upstreams.actors[delivered.upstream]
+        actor = self._balancer_actor.upstreams.actor(delivered.upstream)
         relay = Relay(
             record, actor, client=client, upstream=delivered.connection, outcome_at_end=outcome_at_end
         )
@@ -302,7 +302,7 @@
         self._counters.add(f"sessions_ended_by_{end.side.value}_{end.ending.value}")
         log.debug(
             "session_ended",
-            upstream=self._balancer_actor.upstreams.actors[delivered.upstream].name,
+            upstream=self._balancer_actor.upstreams.names.get(delivered.upstream),
             key=record.opening.key,
             side=end.side.name,
             ending=end.ending.name,
--- a/larchlatch/node/components.py
+++ b/larchlatch/node/components.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    import anyio
+import anyio
 
+if TYPE_CHECKING:
     from larchlatch.node.balancer_actor import BalancerActor
     from larchlatch.node.clients.connections import ClientConnections
     from larchlatch.node.descriptor_budget import DescriptorBudget
@@ -51,9 +51,16 @@
     drainer: SessionDrainer
 
     def figures(self) -> dict[str, int]:
-        """Return all counters, who uses the descriptors, and the longest lag of the event loop.
+        """Return all counters, who uses the descriptors, what is kept, and the longest lag of the event loop.
 
         The lag is in milliseconds, and counts since the last call.
         """
-        descriptors = self.descriptors.figures()._asdict()
-        return {**self.counters.snapshot(), **descriptors, "lag_ms": self.lag_monitor.take_worst_ms()}
+        upstreams = self.balancer_actor.upstreams
+        return {
+            **self.counters.snapshot(),
+            **self.descriptors.figures()._asdict(),
+            "upstreams": len(upstreams.names),
+            "upstream_actors": len(upstreams.actors),
+            "tasks": len(anyio.get_running_tasks()),
+            "lag_ms": self.lag_monitor.take_worst_ms(),
+        }
--- a/larchlatch/node/decision_executor.py
+++ b/larchlatch/node/decision_executor.py
@@ -84,8 +84,8 @@
 
     def start_probes(self, upstreams: Iterable[int]) -> list[int]:
         """Order a probe of each upstream; return the upstreams whose actors' mailboxes are full."""
-        actors = self._upstreams.actors
-        return [upstream for upstream in upstreams if not actors[upstream].offer(StartProbe())]
+        actor = self._upstreams.actor
+        return [upstream for upstream in upstreams if not actor(upstream).offer(StartProbe())]
 
     def migrate(self, session_numbers: Iterable[int]) -> None:
         """Request the migration of established sessions, by their numbers."""
@@ -105,7 +105,7 @@
                 record.attempt_scope.cancel()
 
     def _offer_attempt(self, record: SessionRecord, answer: types.Forward) -> bool:
-        return self._upstreams.actors[answer.upstream].offer(StartAttempt(record, answer.give_up_at))
+        return self._upstreams.actor(answer.upstream).offer(StartAttempt(record, answer.give_up_at))
 
     def _finish(self, record: SessionRecord, answer: Shed | Failed) -> None:
         del self._records[record.session.number]
--- a/larchlatch/node/hot_restart/predecessor.py
+++ b/larchlatch/node/hot_restart/predecessor.py
@@ -241,7 +241,7 @@
     ) -> SessionHandover:
         return SessionHandover(
             request_line=request_lines.request_line(record.opening),
-            upstream=self._balancer_actor.upstreams.actors[record.session.upstream].name,
+            upstream=self._balancer_actor.upstreams.names[record.session.upstream],
             load=record.session.load,
             unanswered_since_us=record.awaiting_answer_since,
             outcome_at_end=int(outcome_at_end),
--- a/larchlatch/node/other_nodes.py
+++ b/larchlatch/node/other_nodes.py
@@ -60,15 +60,15 @@
         """Request a slow-start token that permits a session to go to one of these warming upstreams."""
         if self._cluster is None or not candidates:
             return
-        actors = self._upstreams.actors
-        requests = [TokenRequest(actors[candidate.upstream].name, candidate) for candidate in candidates]
+        names = self._upstreams.names
+        requests = [TokenRequest(names[candidate.upstream], candidate) for candidate in candidates]
         self._cluster.request_token(session_number, requests)
 
     def observe_reachability(self, upstream: int, *, reached: bool | None) -> None:
         """Report whether an upstream was reached; None if sessions there were reset or get no answers."""
-        actor = self._upstreams.actors.get(upstream)
-        if self._cluster is not None and actor is not None:
-            self._cluster.observe_reachability(actor.name, reached=reached)
+        name = self._upstreams.names.get(upstream)
+        if self._cluster is not None and name is not None:
+            self._cluster.observe_reachability(name, reached=reached)
 
     def update_endpoints(self, now: int) -> None:
         """Report which upstreams are ready, and how long it takes until none of them is in slow start."""
--- a/larchlatch/node/status.py
+++ b/larchlatch/node/status.py
@@ -19,7 +19,7 @@
     """The status of one upstream: what the balancer records, and how many sockets are open there.
 
     Attributes:
-        upstream: name of the upstream; its number if it was never in the endpoint list.
+        upstream: name of the upstream; its number if it is not in the node's registry.
         state: its state according to the endpoint list.
         exclusion: why the balancer places no new sessions there; empty if it does place sessions.
         attempts: attempts in flight, as the balancer counts them.
@@ -42,11 +42,11 @@
     utilization_age_ms: int | None
 
 
-def upstream_row(status: UpstreamStatus, actor: UpstreamActor | None) -> UpstreamRow:
-    """Return the row of one upstream; `actor` is None if it was never in the endpoint list."""
+def upstream_row(status: UpstreamStatus, actor: UpstreamActor | None, name: str | None) -> UpstreamRow:
+    """Return the row of one upstream; `actor` is None if it has none, `name` if it is not in the registry."""
     has_report = status.utilization is not None
     return UpstreamRow(
-        upstream=actor.name if actor is not None else status.upstream,
+        upstream=status.upstream if name is None else name,
         state=status.state.value,
         exclusion=_exclusion_reason(status),
         attempts=status.attempts,
@@ -69,7 +69,9 @@
 
 
 def upstream_rows(
-    statuses: Iterable[UpstreamStatus], actors: Mapping[int, UpstreamActor]
+    statuses: Iterable[UpstreamStatus], actors: Mapping[int, UpstreamActor], names: Mapping[int, str]
 ) -> list[UpstreamRow]:
     """Return one row for each upstream, in the order of the balancer's records."""
-    return [upstream_row(status, actors.get(status.upstream)) for status in statuses]
+    return [
+        upstream_row(status, actors.get(status.upstream), names.get(status.upstream)) for status in statuses
+    ]
--- a/larchlatch/node/upstream_actor.py
+++ b/larchlatch/node/upstream_actor.py
@@ -11,8 +11,6 @@
 from larchlatch.node.session_watch import SessionWatch
 
 if TYPE_CHECKING:
-    from anyio.abc import TaskGroup
-
     from larchlatch.node.session_record import SessionRecord
     from larchlatch.node.upstream_context import UpstreamContext, UpstreamTarget
 
@@ -57,6 +55,9 @@
         self.prober = Prober(target, context)
         self.session_watch = SessionWatch(target, context)
         self.post = context.post
+        self._unfinished_count = 0  # orders that were offered and are not carried out yet
+        self._stopped = False
+        self._run_scope: anyio.CancelScope | None = None
         self._sender, self._orders = anyio.create_memory_object_stream[Order](MAILBOX_CAPACITY)
 
     @property
@@ -82,17 +83,45 @@
             self._sender.send_nowait(order)
         except anyio.WouldBlock:
             return False
+        self._unfinished_count += 1
         return True
 
-    async def run(self) -> None:
-        """Watch the established sessions and carry out orders, until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.session_watch.run)
-            async for order in self._orders:
-                self._start(tasks, order)
-
-    def _start(self, tasks: TaskGroup, order: Order) -> None:
-        if isinstance(order, StartProbe):
-            tasks.start_soon(self.prober.run)
+    @property
+    def is_idle(self) -> bool:
+        """Whether no order is waiting or carried out, and no session is established at the upstream."""
+        return not self._unfinished_count and not self.session_watch.sessions
+
+    def stop(self) -> None:
+        """End the actor, which gets no further order, and close its connection for probes."""
+        self._stopped = True
+        self.prober.close_idle()
+        if self._run_scope is None:
+            self._close_mailbox()
         else:
-            tasks.start_soon(self.attempts.run, order.record, order.give_up_at)
+            self._run_scope.cancel()
+
+    async def run(self) -> None:
+        """Watch the established sessions and carry out orders, until cancelled or stopped."""
+        if self._stopped:
+            return
+        try:
+            with anyio.CancelScope() as self._run_scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self.session_watch.run)
+                    async for order in self._orders:
+                        tasks.start_soon(self._carry_out, order)
+        finally:
+            self._close_mailbox()
+
+    async def _carry_out(self, order: Order) -> None:
+        try:
+            if isinstance(order, StartProbe):
+                await self.prober.run()
+            else:
+                await self.attempts.run(order.record, order.give_up_at)
+        finally:
+            self._unfinished_count -= 1
+
+    def _close_mailbox(self) -> None:
+        self._sender.close()
+        self._orders.close()
--- a/larchlatch/node/upstream_registry.py
+++ b/larchlatch/node/upstream_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import count
 from typing import TYPE_CHECKING
 
 import structlog
@@ -9,7 +10,7 @@
 from larchlatch.config.endpoints import EndpointEntry, EndpointList
 from larchlatch.node.upstream_actor import UpstreamActor
 from larchlatch.node.upstream_context import UpstreamContext, UpstreamTarget
-from larchlatch.policy.types import Endpoint, EndpointState
+from larchlatch.policy.types import Endpoint, EndpointState, ReleasedUpstreams
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -27,12 +28,14 @@
 
 
 class UpstreamRegistry:
-    """Keeps the last endpoint entry and the actor of each upstream that the endpoint list has ever named.
+    """Keeps the number, the last endpoint entry and the actor of each upstream.
 
-    An upstream that has left the list keeps its number and its actor, as it may still have sessions.
+    An upstream that has left the list keeps them while the balancer needs them: its actor until it has no
+    session any more, and its number and entry until the balancer has forgotten it. No number is used again.
 
     Attributes:
         actors: the upstreams' actors by number.
+        names: the upstreams' names by number.
 
     """
 
@@ -45,6 +48,8 @@
         post: Post,
     ) -> None:
         self.actors: dict[int, UpstreamActor] = {}
+        self.names: dict[int, str] = {}
+        self._new_numbers = count()
         self._zones = {name: number for number, name in enumerate(zones)}
         self._context = UpstreamContext(settings, descriptors, counters, post)
         self._numbers: dict[str, int] = {}
@@ -58,13 +63,25 @@
             tasks.start_soon(actor.run)
 
     def number_of(self, name: str) -> int | None:
-        """Return the number of the upstream of this name, or None if the endpoint list has never named it."""
+        """Return the number of the upstream of this name, or None if it is unknown or has been forgotten."""
         return self._numbers.get(name)
 
     def actor_named(self, name: str) -> UpstreamActor | None:
-        """Return the actor of the upstream of this name, or None if the endpoint list has never named it."""
+        """Return the actor of the upstream of this name, or None if there is none."""
         number = self.number_of(name)
-        return None if number is None else self.actors[number]
+        return None if number is None else self.actors.get(number)
+
+    def actor(self, number: int) -> UpstreamActor:
+        """Return the actor of an upstream, which is started again if it has ended.
+
+        Raises:
+            KeyError: the upstream is unknown or has been forgotten.
+
+        """
+        actor = self.actors.get(number)
+        if actor is None:
+            actor = self._create_actor(number, self._entries[self.names[number]])
+        return actor
 
     def endpoint_list(self, revision: int) -> EndpointList:
         """Return the complete endpoint list as this node knows it, including upstreams that are gone."""
@@ -94,14 +111,34 @@
             started_at=entry.started_at,
         )
         self._entries[entry.name] = entry
-        number = self._numbers.setdefault(entry.name, len(self._numbers))
-        actor = self.actors.get(number)
-        if actor is None:
-            actor = self._create_actor(number, entry)
-        actor.update_target(entry.address, accepts_sessions=entry.state is EndpointState.READY)
+        number = self._numbers.get(entry.name)
+        if number is None:
+            number = self._numbers[entry.name] = next(self._new_numbers)
+            self.names[number] = entry.name
+        self.actor(number).update_target(entry.address, accepts_sessions=entry.state is EndpointState.READY)
+
+    def release(self, released: ReleasedUpstreams) -> None:
+        """End the idle actors of unused upstreams, and forget those that the balancer has forgotten."""
+        for number in released.unused:
+            actor = self.actors.get(number)
+            if actor is not None and actor.is_idle:
+                self._end_actor(number)
+        for number in released.forgotten:
+            self._end_actor(number)
+            name = self.names.pop(number, None)
+            if name is not None:
+                del self._numbers[name], self._entries[name]
+                log.debug("upstream_forgotten", upstream=name)
+
+    def _end_actor(self, number: int) -> None:
+        actor = self.actors.pop(number, None)
+        if actor is not None:
+            actor.stop()
 
     def _create_actor(self, number: int, entry: EndpointEntry) -> UpstreamActor:
-        actor = UpstreamActor(UpstreamTarget(number, entry.name, entry.address), self._context)
+        accepts_sessions = entry.state is EndpointState.READY
+        target = UpstreamTarget(number, entry.name, entry.address, accepts_sessions=accepts_sessions)
+        actor = UpstreamActor(target, self._context)
         self.actors[number] = actor
         if self._tasks is not None:
             self._tasks.start_soon(actor.run)
@@ -111,7 +148,9 @@
         for entry in list(self._entries.values()):
             if entry.name not in names:
                 self._entries[entry.name] = entry._replace(state=EndpointState.GONE)
-                self.actors[self._numbers[entry.name]].refuse_sessions()
+                actor = self.actors.get(self._numbers[entry.name])
+                if actor is not None:
+                    actor.refuse_sessions()
 
     def _policy_endpoint(self, entry: EndpointEntry) -> Endpoint:
         return Endpoint(
--- a/larchlatch/policy/balancer.py
+++ b/larchlatch/policy/balancer.py
@@ -13,6 +13,7 @@
 from larchlatch.policy.outcomes import OutcomeRecorder, ProbeRecorder
 from larchlatch.policy.placement import Placement
 from larchlatch.policy.probing import DiscoveryPolling, Probing
+from larchlatch.policy.retention import Retention
 from larchlatch.policy.retries import Retries
 from larchlatch.policy.ring import UpstreamRing
 from larchlatch.policy.selection import UpstreamSelector
@@ -24,7 +25,14 @@
     from collections.abc import Iterable
     from random import Random
 
-    from larchlatch.policy.types import DeploymentSettings, Endpoint, ProbeResult, Session, Token
+    from larchlatch.policy.types import (
+        DeploymentSettings,
+        Endpoint,
+        ProbeResult,
+        ReleasedUpstreams,
+        Session,
+        Token,
+    )
 
 CHECK_INTERVAL_US = 1_000_000  # longest time between two checks for due probes and migrations
 
@@ -48,6 +56,7 @@
         placement: Decides where a session goes.
         outcomes: Records the outcomes of attempts and sessions.
         probes: Records the results of probes.
+        retention: Decides how long upstreams that are gone are remembered.
     """
 
     def __init__(self, settings: DeploymentSettings, random: Random) -> None:
@@ -70,6 +79,7 @@
             settings, fleet, self.node_backoff, self.ring, self.load, self.retries
         )
         self.probes = ProbeRecorder(fleet, self.slow_start, self.migration)
+        self.retention = Retention(settings, fleet)
 
     def place(self, now: int, session: Session) -> Answer:
         """Return an upstream for a session, or that it is held, or its final answer."""
@@ -129,19 +139,30 @@
             whole: Whether this is the complete list, so that an upstream missing from it is gone.
             from_discovery: Whether the discovery service sent the list; otherwise it was stored earlier.
         """
-        update = self.fleet.update(list(endpoints), whole=whole)
+        update = self.fleet.update(now, list(endpoints), whole=whole)
         self.node_backoff.longest_us = self._longest_node_backoff_us()
         if from_discovery:
             self.polling.answered()
         self.ring.update(update.named, update.gone)
 
+    def release_gone(self, now: int, sessions: Iterable[Session]) -> ReleasedUpstreams:
+        """Forget upstreams that are gone and no longer matter, and return which ones the node no longer uses.
+
+        Args:
+            now: The present time in microseconds.
+            sessions: All sessions of this node that have no final answer yet or are established.
+        """
+        return self.retention.release(now, sessions)
+
     def discovery_failed(self, now: int) -> None:
         """Record that a poll of the endpoint list failed, or that the subscription to it was lost."""
         self.polling.failed(now)
 
     def record_probe(self, now: int, number: int, probe: ProbeResult) -> None:
-        """Record the result of a probe of an upstream."""
-        self.probes.record(now, self.fleet.upstreams[number], probe)
+        """Record the result of a probe of an upstream; ignore it if the upstream has been forgotten."""
+        upstream = self.fleet.upstreams.get(number)
+        if upstream is not None:
+            self.probes.record(now, upstream, probe)
 
     def record_load(self, now: int, session: Session, load: float) -> None:
         """Record the present load of a session, in microseconds of work per second."""
@@ -154,7 +175,9 @@
 
     def record_unresponsive(self, now: int, number: int) -> None:
         """Record that an upstream has stopped answering messages on all of its sessions."""
-        self.migration.record_unresponsive(now, self.fleet.upstreams[number])
+        upstream = self.fleet.upstreams.get(number)
+        if upstream is not None:
+            self.migration.record_unresponsive(now, upstream)
 
     def record_token(self, now: int, issuer_until: int, token: Token | None = None) -> None:
         """Record until when a token issuer allots slow-start budgets, and a token if it issued one."""
--- a/larchlatch/policy/outcomes.py
+++ b/larchlatch/policy/outcomes.py
@@ -94,7 +94,10 @@
                 self._record_stable_session(now, session)
 
     def _record_stable_session(self, now: int, session: Session) -> None:
-        upstream = self.fleet.upstreams[session.upstream]
+        upstream = self.fleet.upstreams.get(session.upstream)
+        if upstream is None:
+            # Its client has left since, and its upstream has been forgotten before the next placement.
+            return
         succeeded = now >= upstream.slow_until
         upstream.backoff.record(now, session.established_at, succeeded=succeeded)
         self.node_backoff.record(now, session.established_at, succeeded=succeeded)
--- a/larchlatch/policy/types.py
+++ b/larchlatch/policy/types.py
@@ -393,3 +393,15 @@
     migrations: list[int]
     superseded: list[int]
     setup_us: int
+
+
+class ReleasedUpstreams(NamedTuple):
+    """The numbers of upstreams for which the caller may free resources.
+
+    Attributes:
+        unused: Upstreams that are gone and to which no session refers; their records are kept for a time.
+        forgotten: Upstreams whose records are no longer kept; one that returns is a new one.
+    """
+
+    unused: list[int]
+    forgotten: list[int]
--- a/larchlatch/policy/upstream.py
+++ b/larchlatch/policy/upstream.py
@@ -31,6 +31,7 @@
         zone: The number of its zone; -1 if unknown.
         cell: The number of its cell; -1 if unknown.
         state: Its state in the endpoint list.
+        gone_since: Since when it is gone; earlier than every time that occurs if no list has named it.
         size: Its capacity, in units of a standard upstream's capacity.
         started_at: When it started; 0 if its slow start is long over.
         ring_points: The number of its points on the ring.
@@ -65,6 +66,7 @@
     state: EndpointState = field(init=False)
     size: float = field(init=False)
     started_at: int = field(init=False, default=0)
+    gone_since: int = NEVER
     ring_points: int = 0
     sessions: dict[int, Session] = field(default_factory=dict)
     known_load: float = 0.0
@@ -183,6 +185,7 @@
 
     Attributes:
         upstreams: The records by number, including those of upstreams that are gone.
+        gone: The records of the upstreams that are gone, by number.
         ready_count: The number of ready upstreams.
         mean_session_load: Running mean of known session loads, in microseconds of work per second; 0 if none
             is known.
@@ -191,6 +194,7 @@
 
     def __init__(self) -> None:
         self.upstreams: dict[int, Upstream] = {}
+        self.gone: dict[int, Upstream] = {}
         self.ready_count = 0
         self._ready: list[Upstream] | None = []  # the ready upstreams; None if they have to be listed again
         self.mean_session_load = 0.0
@@ -249,33 +253,45 @@
 
     def find_or_add(self, endpoint: Endpoint) -> Upstream:
         """Return the record of an endpoint's upstream, which is created if there is none."""
-        if endpoint.upstream not in self.upstreams:
-            self.upstreams[endpoint.upstream] = Upstream(endpoint._replace(state=EndpointState.GONE))
-        return self.upstreams[endpoint.upstream]
+        upstream = self.upstreams.get(endpoint.upstream)
+        if upstream is None:
+            upstream = Upstream(endpoint._replace(state=EndpointState.GONE))
+            self.upstreams[upstream.number] = self.gone[upstream.number] = upstream
+        return upstream
 
-    def update(self, endpoints: Collection[Endpoint], *, whole: bool) -> FleetUpdate:
+    def forget(self, upstream: Upstream) -> None:
+        """Drop the record of an upstream that is gone."""
+        del self.gone[upstream.number], self.upstreams[upstream.number]
+
+    def update(self, now: int, endpoints: Collection[Endpoint], *, whole: bool) -> FleetUpdate:
         """Apply an endpoint list, or changes to it, and return the records that it concerns.
 
         Args:
+            now: The present time in microseconds.
             endpoints: The endpoints.
             whole: Whether this is the complete list, so that an upstream missing from it is gone.
         """
         named = [self.find_or_add(endpoint) for endpoint in endpoints]
         for upstream, endpoint in zip(named, endpoints, strict=True):
-            self._count_state(upstream.state, endpoint.state)
+            self._change_state(now, upstream, endpoint.state)
             upstream.update_from(endpoint)
         gone = self._missing_from(named) if whole else []
         for upstream in gone:
-            self._count_state(upstream.state, EndpointState.GONE)
-            upstream.state = EndpointState.GONE
+            self._change_state(now, upstream, EndpointState.GONE)
         return FleetUpdate(named, gone)
 
-    def _count_state(self, former: EndpointState, state: EndpointState) -> None:
-        """Count an upstream whose state changes from `former` to `state`."""
-        change = (state is EndpointState.READY) - (former is EndpointState.READY)
+    def _change_state(self, now: int, upstream: Upstream, state: EndpointState) -> None:
+        """Change an upstream's state, and list it by its new one."""
+        change = (state is EndpointState.READY) - (upstream.state is EndpointState.READY)
         if change:
             self.ready_count += change
             self._ready = None
+        if state is not EndpointState.GONE:
+            self.gone.pop(upstream.number, None)
+        elif upstream.state is not EndpointState.GONE or upstream.gone_since == NEVER:
+            upstream.gone_since = now
+            self.gone[upstream.number] = upstream
+        upstream.state = state
 
     def _missing_from(self, named: Collection[Upstream]) -> list[Upstream]:
         """Return the upstreams that are not among the named ones and were not gone before."""
--- a/larchlatch/simulator_adapter/node_instance.py
+++ b/larchlatch/simulator_adapter/node_instance.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable, Mapping, Sequence
+from itertools import count
 from typing import TYPE_CHECKING, Any
 
 from larchlatch.config.deployment import read_deployment_settings, traffic_class_numbers, zone_numbers
@@ -66,7 +67,8 @@
         self._traffic_classes = traffic_class_numbers(start.settings, SETTINGS_PLACE)
         self._zones = zone_numbers(start.settings)
         self._endpoint_lists = endpoint_lists
-        self._upstream_names: list[str] = []
+        self._upstream_names: dict[int, str] = {}
+        self._new_upstream_numbers = count()
         self._upstream_numbers: dict[str, int] = {}
         self._sessions: dict[str, Session] = {}
         self._handles: dict[int, str] = {}
@@ -100,6 +102,7 @@
         There is no new request if an earlier one wakes the node in time.
         """
         wake = super().due(now)
+        self._forget_upstreams(now)
         if wake < self._wake_at or self._wake_at <= now:
             self._wake_at = max(wake, now + 1)
             self.actions.append(protocol.wake_action(self._wake_at - now))
@@ -208,7 +211,9 @@
             self.balancer.record_delay(now, session, message.delay_us)
 
     def _probe_ended(self, now: int, message: ProbeEnded) -> None:
-        self.balancer.record_probe(now, self._upstream_number(message.upstream), message.result)
+        number = self._upstream_numbers.get(message.upstream)
+        if number is not None:
+            self.balancer.record_probe(now, number, message.result)
 
     def _ignored(self, now: int, message: Ignored) -> None:
         pass
@@ -244,10 +249,15 @@
     def _upstream_number(self, name: str) -> int:
         number = self._upstream_numbers.get(name)
         if number is None:
-            number = self._upstream_numbers[name] = len(self._upstream_names)
-            self._upstream_names.append(name)
+            number = self._upstream_numbers[name] = next(self._new_upstream_numbers)
+            self._upstream_names[number] = name
         return number
 
+    def _forget_upstreams(self, now: int) -> None:
+        """Forget the upstreams that the balancer no longer needs."""
+        for number in self.balancer.release_gone(now, self._sessions.values()).forgotten:
+            del self._upstream_numbers[self._upstream_names.pop(number)]
+
     def _endpoint(self, row: EndpointRow) -> Endpoint:
         return Endpoint(
             self._upstream_number(row.upstream),
--- a/tests/support/balancer_harness.py
+++ b/tests/support/balancer_harness.py
@@ -205,6 +205,8 @@
                 self.finish_attempt(self.sessions[number], Outcome.TIMED_OUT)
         self.now = stop
         self.balancer.due_actions(self.now)
+        released = self.balancer.release_gone(self.now, self.sessions.values())
+        assert not {session.upstream for session in self.sessions.values()} & {*released.forgotten}
         overdue = [
             n
             for n, session in self.sessions.items()
