The orderly end of a connection that was reset before is no fault any more

Cause: LineConnection._linger ends its side by send_eof; if the other side has reset the connection and the transport has closed, uvloop raises RuntimeError, which CONNECTION_ENDED_ERRORS does not name.

Change: a stream that has ended is not ended again. RuntimeError is not added to the errors of a connection, as it would hide faults.

Result: test_end_of_a_connection_that_was_reset_before_is_no_fault fails without the change, passes with it.

--- a/larchlatch/node/wire/stream.py
+++ b/larchlatch/node/wire/stream.py
@@ -203,6 +203,9 @@
 
         To close a connection with unread data would reset it, and the data that was sent last would be lost.
         """
+        if StreamBuffers(self.stream).has_ended:
+            # The other side has reset the connection. uvloop raises RuntimeError for an end after that.
+            return
         with anyio.move_on_after(linger_s), suppress(anyio.EndOfStream, *CONNECTION_ENDED_ERRORS):
             await self.stream.send_eof()
             for _ in range(LINGER_CHUNKS):
--- a/tests/node/test_early_resets.py
+++ b/tests/node/test_early_resets.py
@@ -185,3 +185,24 @@
             socket.socket(fileno=descriptor)
 
     run_on_loopback(body)
+
+
+@pytest.mark.parametrize("resets", [True, False])
+def test_end_of_a_connection_that_was_reset_before_is_no_fault(resets: bool) -> None:
+    """Guards against a RuntimeError of uvloop, which a fault barrier reported as `connection_failed`."""
+
+    async def body(tasks: TaskGroup) -> None:
+        ours, theirs = connect_sockets()
+        ours.setblocking(False)
+        connection = await LineConnection.of_socket(ours)
+        assert connection is not None
+        if resets:
+            reset(theirs)
+        else:
+            theirs.close()
+        assert await connection.line() is (Ending.RESET if resets else Ending.END)
+        await anyio.wait_all_tasks_blocked()
+        await connection.finish(Ending.END)
+        assert connection.closed
+
+    run_on_loopback(body)
