A successor gets the revision of the entries that the balancer has

Cause: DiscoveryClient._publish sets the revision before the entries reach the balancer actor. A Welcome made in between has the new revision with the old entries, and the successor asks for later changes only.

Change: DiscoveryClient.applied_revision follows what the balancer actor has applied, and is 0 from a change of the address until the complete list of the new one has been applied. A Welcome uses it.

Result: test_revision_for_a_successor_is_that_of_the_entries_that_the_balancer_has fails without the change, passes with it.

--- a/larchlatch/node/balancer_actor.py
+++ b/larchlatch/node/balancer_actor.py
@@ -214,6 +214,8 @@
                     now, changed, whole=endpoints.complete, from_discovery=from_discovery
                 )
                 self._cluster.update_endpoints(now)
+                if from_discovery and self._discovery is not None:
+                    self._discovery.record_applied(endpoints.revision)
             case messages.DiscoveryFailed():
                 self.balancer.discovery_failed(now)
             case messages.EjectionAdvised():
@@ -273,7 +275,7 @@
 
     def endpoint_list(self) -> EndpointList:
         """Return the endpoint list as this node knows it, for the successor."""
-        revision = self._discovery.revision if self._discovery is not None else 0
+        revision = self._discovery.applied_revision if self._discovery is not None else 0
         return self.upstreams.endpoint_list(revision)
 
     def hand_over(self) -> BalancerState:
--- a/larchlatch/node/discovery.py
+++ b/larchlatch/node/discovery.py
@@ -93,6 +93,8 @@
 
     Attributes:
         source: the address of discovery that is called now, and the state of its list.
+        applied_revision: the revision of the list that the balancer actor has, with which another process
+            may continue; 0 if it is from another address.
         first_update: set once the first update has been received from discovery.
         refused: whether discovery answered the last call with a refusal or with an invalid list.
         last_progress_at: when the last complete object or keep-alive was received, or the last call began; in
@@ -113,6 +115,7 @@
         uniform: Callable[[float, float], float],
     ) -> None:
         self.source = EndpointSource(address, revision=revision, needs_full_list=False)
+        self.applied_revision = revision
         self.first_update = anyio.Event()
         self.refused = False
         self.last_progress_at = 0.0
@@ -130,12 +133,18 @@
 
     @property
     def revision(self) -> int:
-        """The revision up to which the list is known."""
+        """The revision up to which the list has been received; the balancer actor may not have it yet."""
         return self.source.revision
 
-    @revision.setter
-    def revision(self, revision: int) -> None:
-        self.source.revision = revision
+    def continue_from(self, revision: int) -> None:
+        """Ask for the changes after this revision, up to which the balancer actor has the list."""
+        self.source.revision = self.applied_revision = revision
+
+    def record_applied(self, revision: int) -> None:
+        """Record that the balancer actor has applied an update of this revision."""
+        # Until the complete list of a new address has come, updates are from the former one.
+        if not self.source.needs_full_list:
+            self.applied_revision = revision
 
     def start(self) -> None:
         """Let `run` start to call discovery."""
@@ -146,6 +155,7 @@
         # Revisions at the new address may be unrelated to the known ones, and changes alone would not remove
         # an upstream that the new list lacks. So the complete list is fetched first.
         self.source = EndpointSource(address, revision=0, needs_full_list=True)
+        self.applied_revision = 0
         self.max_pause_s = FIRST_SERVICE_PAUSE_S
         if self._call_scope is not None:
             self._call_scope.cancel()
@@ -198,8 +208,8 @@
         """Fetch the complete list if that is necessary, then watch it for changes."""
         if source.needs_full_list:
             update = await discovery_client.fetch_list(source.address, PATH, self._timeouts)
-            await self._publish(source, update)
             source.needs_full_list = False
+            await self._publish(source, update)
             self._record_progress()
         target = discovery_client.watch_target(PATH, source.revision)
         async with discovery_client.open_get(source.address, target, self._timeouts) as response:
--- a/larchlatch/node/runtime.py
+++ b/larchlatch/node/runtime.py
@@ -229,7 +229,7 @@
 
 def start_balancing(endpoints: EndpointList, components: NodeComponents, tasks: TaskGroup) -> None:
     """Start the balancer actor and the discovery client from a known endpoint list."""
-    components.discovery.revision = endpoints.revision
+    components.discovery.continue_from(endpoints.revision)
     components.balancer_actor.handle(now_us(), EndpointsChanged(endpoints, from_discovery=False))
     tasks.start_soon(components.balancer_actor.run)
     tasks.start_soon(components.discovery.run)
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -389,3 +389,31 @@
                     decode_endpoint_list(whole)
     except InvalidInputError as error:
         assert str(error).startswith("list")
+
+
+def test_revision_for_a_successor_is_that_of_the_entries_that_the_balancer_has() -> None:
+    """Guards against a successor that gets old entries with the new revision, and never learns the change."""
+    posted: list[Message] = []
+
+    async def body(tasks: TaskGroup) -> None:
+        scripted = await ScriptedDiscovery(streams_update(CHANGE)).start(tasks)
+        handled = anyio.Event()
+
+        async def post(message: Message) -> None:
+            posted.append(message)
+            await handled.wait()
+
+        client = DiscoveryClient(
+            ("127.0.0.1", scripted.port), revision=6, pushed=True, counters=Counters(), post=post, uniform=max
+        )
+        tasks.start_soon(client.run)
+        await wait_until(lambda: bool(posted))
+        assert client.applied_revision == 6
+        client.record_applied(7)
+        assert client.applied_revision == 7
+        client.change_address(("127.0.0.1", 9))
+        assert client.applied_revision == 0
+        client.record_applied(7)
+        assert client.applied_revision == 0, "an update of the former address"
+
+    run_on_loopback(body)
