Ejection advice starts probes only where the settings allow probes

Cause: BalancerActor._follow_ejection_advice offers a probe without asking the settings, unlike Probing.due.

Change: Probing.allowed says whether probes are allowed, and both ask it. Other nodes' reports count as before.

--- a/larchlatch/node/balancer_actor.py
+++ b/larchlatch/node/balancer_actor.py
@@ -226,7 +226,7 @@
                 self.balancer.record_token(now, issuer_until, Token(upstream, session, expires_at))
 
     def _follow_ejection_advice(self, now: int, advice: messages.EjectionAdvised) -> None:
-        for name in advice.probe:
+        for name in advice.probe if self.balancer.probing.allowed else ():
             actor = self.upstreams.actor_named(name)
             if actor is not None:
                 actor.offer(StartProbe())
--- a/larchlatch/policy/probing.py
+++ b/larchlatch/policy/probing.py
@@ -39,6 +39,11 @@
     settings: DeploymentSettings
     fleet: Fleet
 
+    @property
+    def allowed(self) -> bool:
+        """Whether the settings allow probes; elsewhere upstreams answer them as an error."""
+        return self.settings.probes
+
     def request(self, now: int, session: Session, upstreams: list[Upstream]) -> bool:
         """Request probes of those upstreams whose load is not known well enough to place a new session.
 
@@ -55,7 +60,7 @@
 
     def due(self, now: int) -> list[int]:
         """Return the numbers of the upstreams to be probed now, and record these probes as sent."""
-        if not self.settings.probes:
+        if not self.allowed:
             return []
         due = []
         for upstream in self.fleet.ready:
