Unnamed zones and unknown cells no longer count as one for repeats of keyed sessions

Cause: UpstreamRegistry gives each zone that the settings do not name the number -1, parse_endpoint each missing cell; _share_dedup_scope compares the numbers.

Change: a zone without a name in the settings has a number of its own (a hash of its name). Unknown zones and cells are equal to no other; a repeat then goes to the upstream of the first attempt alone.

--- a/larchlatch/config/deployment.py
+++ b/larchlatch/config/deployment.py
@@ -6,11 +6,22 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from xxhash import xxh3_64_intdigest
 
 from larchlatch.config.reading import NUMBER, non_negative_int, one_of, optional, required
 from larchlatch.errors import ConfigurationError
-from larchlatch.policy.types import DedupScope, DeploymentSettings, Idempotency, TrafficClass
+from larchlatch.policy.types import (
+    UNKNOWN_PLACE,
+    DedupScope,
+    DeploymentSettings,
+    Idempotency,
+    TrafficClass,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 # Meaning of the values of the key `effect` of a traffic class.
 IDEMPOTENCY_BY_EFFECT = {
@@ -29,6 +40,7 @@
 LOAD_FIELD = "x0"  # name of the utilization in the key `fields` of the object `telemetry`
 
 DEFAULT_CONNECT_TIMEOUT_US = 250_000
+UNNAMED_ZONES_FROM = 2**32  # numbers of zones that the settings do not name; above those that they name
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +148,20 @@
     }
 
 
+def zone_number(zones: Mapping[str, int], name: str) -> int:
+    """Return the number of a zone; one that the settings do not name has a number of its own.
+
+    Args:
+        zones: The numbers of the zones that the settings name, by name.
+        name: The zone's name; empty if it is not known.
+
+    """
+    if not name:
+        return UNKNOWN_PLACE
+    number = zones.get(name)
+    return UNNAMED_ZONES_FROM + xxh3_64_intdigest(name.encode()) if number is None else number
+
+
 def zone_numbers(raw: dict[str, Any]) -> dict[str, int]:
     """Return the number of each zone by its name, from settings that have been validated."""
     return {name: number for number, name in enumerate(raw["areas"])}
--- a/larchlatch/config/endpoints.py
+++ b/larchlatch/config/endpoints.py
@@ -11,7 +11,7 @@
 
 from larchlatch.config.reading import NUMBER, non_negative_int, one_of, required
 from larchlatch.errors import ConfigurationError, InvalidInputError, ProtocolError
-from larchlatch.policy.types import EndpointState
+from larchlatch.policy.types import UNKNOWN_PLACE, EndpointState
 
 STATE_BY_PHASE = {
     "in_service": EndpointState.READY,
@@ -22,7 +22,6 @@
 
 MAX_SIZE = 1e6  # sizes are summed: an absurdly large one would outweigh all other upstreams together
 DEFAULT_SIZE = 1.0
-NO_CELL = -1
 
 Address = tuple[str, int]  # host and port
 
@@ -38,7 +37,7 @@
         name: The name of the upstream.
         address: Its host and port.
         zone: The name of its zone; empty if the list names none.
-        cell: The number of its cell; `NO_CELL` if the list names none.
+        cell: The number of its cell; `UNKNOWN_PLACE` if the list names none.
         state: Whether it accepts sessions.
         size: Its capacity relative to other upstreams.
         started_at: When it started, in microseconds of Unix time; 0 if that was long ago.
@@ -118,7 +117,7 @@
         name=name,
         address=address,
         zone=str(raw.get("locality") or ""),
-        cell=cell if isinstance(cell, int) else NO_CELL,
+        cell=cell if isinstance(cell, int) else UNKNOWN_PLACE,
         state=one_of(phase, STATE_BY_PHASE, f"{where}.phase", error=ProtocolError),
         size=size,
         started_at=up_since_ms * MICROSECONDS_PER_MS,
--- a/larchlatch/node/upstream_registry.py
+++ b/larchlatch/node/upstream_registry.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from larchlatch.config.deployment import zone_number
 from larchlatch.config.endpoints import EndpointEntry, EndpointList
 from larchlatch.node.upstream_actor import UpstreamActor
 from larchlatch.node.upstream_context import UpstreamContext, UpstreamTarget
@@ -22,8 +23,6 @@
     from larchlatch.node.messages import Post
     from larchlatch.node.metrics import Counters
 
-UNKNOWN_ZONE = -1  # passed to the balancer for a zone that the configuration does not name
-
 log = structlog.get_logger()
 
 
@@ -156,7 +155,7 @@
         return Endpoint(
             self._numbers[entry.name],
             entry.name,
-            self._zones.get(entry.zone, UNKNOWN_ZONE),
+            zone_number(self._zones, entry.zone),
             entry.cell,
             entry.state,
             entry.size,
--- a/larchlatch/policy/retries.py
+++ b/larchlatch/policy/retries.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from larchlatch.policy.types import Answer, DedupScope, Fail, Idempotency, Shed
+from larchlatch.policy.types import UNKNOWN_PLACE, Answer, DedupScope, Fail, Idempotency, Shed
 
 if TYPE_CHECKING:
     from random import Random
@@ -144,11 +144,16 @@
 
 
 def _share_dedup_scope(scope: DedupScope, upstream: Upstream, other: Upstream) -> bool:
-    """Return whether an upstream discards the repeat of an attempt that was sent to another one before."""
+    """Return whether an upstream discards the repeat of an attempt that was sent to another one before.
+
+    Upstreams of unknown zones or cells may be in different ones, so only the same upstream certainly does.
+    """
+    if upstream is other:
+        return True
     match scope:
         case DedupScope.ALL:
             return True
         case DedupScope.ZONE:
-            return upstream.zone == other.zone
+            return upstream.zone == other.zone != UNKNOWN_PLACE
         case DedupScope.CELL:
-            return upstream.cell == other.cell
+            return upstream.cell == other.cell != UNKNOWN_PLACE
--- a/larchlatch/policy/types.py
+++ b/larchlatch/policy/types.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 NO_END = 2**62  # microseconds; later than every time that occurs
+UNKNOWN_PLACE = -1  # the number of a zone or a cell that is not known
 
 
 class Idempotency(Enum):
--- a/larchlatch/simulator_adapter/node_instance.py
+++ b/larchlatch/simulator_adapter/node_instance.py
@@ -7,11 +7,16 @@
 from itertools import count
 from typing import TYPE_CHECKING, Any
 
-from larchlatch.config.deployment import read_deployment_settings, traffic_class_numbers, zone_numbers
+from larchlatch.config.deployment import (
+    read_deployment_settings,
+    traffic_class_numbers,
+    zone_number,
+    zone_numbers,
+)
 from larchlatch.errors import ProtocolError
 from larchlatch.policy.balancer import Balancer
 from larchlatch.policy.driver import Driver
-from larchlatch.policy.types import Endpoint, Outcome, Session
+from larchlatch.policy.types import UNKNOWN_PLACE, Endpoint, Outcome, Session
 from larchlatch.simulator_adapter import protocol
 from larchlatch.simulator_adapter.messages import (
     AttemptEnded,
@@ -37,9 +42,6 @@
 
 SETTINGS_PLACE = "POWER_ON: conf"  # the place of the settings, for error messages
 
-# The number that the balancer has for an unknown zone or cell.
-UNKNOWN = -1
-
 EndpointLists = Mapping[int, Sequence[EndpointRow]]
 Handler = Callable[[int, Any], None]
 
@@ -262,8 +264,8 @@
         return Endpoint(
             self._upstream_number(row.upstream),
             row.upstream,
-            UNKNOWN if row.zone is None else self._zones.get(row.zone, UNKNOWN),
-            UNKNOWN if row.cell is None else row.cell,
+            zone_number(self._zones, row.zone or ""),
+            UNKNOWN_PLACE if row.cell is None else row.cell,
             protocol.endpoint_state(row),
             float(row.size) if row.size and row.size > 0 else 1.0,
             row.started_at or 0,
