Numbers of the settings are checked for their ranges, and true is no number

Cause: required() checks types alone; parse_endpoint and message_aim_us tested isinstance, and bool is an int.

--- a/larchlatch/config/deployment.py
+++ b/larchlatch/config/deployment.py
@@ -10,7 +10,16 @@
 
 from xxhash import xxh3_64_intdigest
 
-from larchlatch.config.reading import NUMBER, non_negative_int, one_of, optional, required
+from larchlatch.config.reading import (
+    EXACT_INTEGER_LIMIT,
+    integer_from,
+    is_number,
+    non_negative_int,
+    number_between,
+    one_of,
+    optional,
+    required,
+)
 from larchlatch.errors import ConfigurationError
 from larchlatch.policy.types import (
     UNKNOWN_PLACE,
@@ -40,6 +49,7 @@
 LOAD_FIELD = "x0"  # name of the utilization in the key `fields` of the object `telemetry`
 
 DEFAULT_CONNECT_TIMEOUT_US = 250_000
+SMALLEST_SHARE = 0.001  # of an upstream's capacity
 UNNAMED_ZONES_FROM = 2**32  # numbers of zones that the settings do not name; above those that they name
 
 
@@ -115,7 +125,7 @@
     required(raw, "areas", list, where)
     probes = bool(capabilities.get("probes"))
     return DeploymentSettings(
-        me=required(raw, "me", int, where),
+        me=integer_from(raw, "me", where, least=0),
         nodes=max(1, required(raw, "peers_total", int, where)),
         traffic_classes=_read_traffic_classes(raw, domain, where),
         uses_groups=bool(domain.get("groups")),
@@ -125,12 +135,12 @@
         can_cancel=bool(capabilities.get("cancel")),
         probes_report_load=probes and _reports_load(telemetry, f"{where}.telemetry"),
         reports_delay=bool(domain.get("tells_delay")),
-        max_attempts=required(capabilities, "most_setup_tries", int, f"{where}.caps"),
+        max_attempts=integer_from(capabilities, "most_setup_tries", f"{where}.caps", least=0),
         max_retry_after_us=_read_max_retry_after_us(capabilities, f"{where}.caps"),
         poll_within_us=non_negative_int(rules, "ask_within_us", f"{where}.rules"),
-        slow_start_min_share=float(required(rules, "cold_from", NUMBER, f"{where}.rules")),
+        slow_start_min_share=_read_slow_start_min_share(rules, f"{where}.rules"),
         slow_start_us=max(1, non_negative_int(rules, "cold_us", f"{where}.rules")),
-        overload_multiple=float(required(rules, "tip_multiple", NUMBER, f"{where}.rules")),
+        overload_multiple=number_between(rules, "tip_multiple", f"{where}.rules", least=0),
         overload_window_us=max(1, non_negative_int(rules, "tip_after_us", f"{where}.rules")),
     )
 
@@ -193,9 +203,11 @@
 def _message_objective_us(objectives: list[Any], index: int, where: str) -> int:
     """Return the message objective of the traffic class at `index`; 0 if the settings have none for it."""
     objective = objectives[index] if index < len(objectives) else 0
-    if not isinstance(objective, NUMBER):
+    if not is_number(objective):
         problem = f"message_aim_us[{index}] has the wrong type ({type(objective).__name__})"
         raise ConfigurationError(where, problem)
+    if not 0 <= objective < EXACT_INTEGER_LIMIT:
+        raise ConfigurationError(where, f"message_aim_us[{index}] is out of range ({objective})")
     return int(objective)
 
 
@@ -214,6 +226,14 @@
     )
 
 
+def _read_slow_start_min_share(rules: dict[str, Any], where: str) -> float:
+    """Return the share of its capacity that an upstream has when it starts.
+
+    It is above 0, as loads are divided by it.
+    """
+    return max(SMALLEST_SHARE, number_between(rules, "cold_from", where, least=0, most=1))
+
+
 def _reports_load(telemetry: dict[str, Any], where: str) -> bool:
     """Return whether an upstream reports its load in its answers to probes."""
     fields = optional(telemetry, "fields", list, where, [])
--- a/larchlatch/config/endpoints.py
+++ b/larchlatch/config/endpoints.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from larchlatch.config.reading import NUMBER, non_negative_int, one_of, required
+from larchlatch.config.reading import is_number, non_negative_int, one_of, required
 from larchlatch.errors import ConfigurationError, InvalidInputError, ProtocolError
 from larchlatch.policy.types import UNKNOWN_PLACE, EndpointState
 
@@ -117,7 +117,7 @@
         name=name,
         address=address,
         zone=str(raw.get("locality") or ""),
-        cell=cell if isinstance(cell, int) else UNKNOWN_PLACE,
+        cell=cell if isinstance(cell, int) and is_number(cell) else UNKNOWN_PLACE,
         state=one_of(phase, STATE_BY_PHASE, f"{where}.phase", error=ProtocolError),
         size=size,
         started_at=up_since_ms * MICROSECONDS_PER_MS,
@@ -127,7 +127,7 @@
 def _parse_size(raw: dict[str, Any], where: str) -> float:
     """Return the size in an entry; the default if the entry has no size above 0."""
     size = raw.get("size")
-    if not isinstance(size, NUMBER):
+    if size is None or not is_number(size):
         return DEFAULT_SIZE
     if size >= MAX_SIZE:
         raise ProtocolError(f"{where}.size", f"too large ({size:g})")
--- a/larchlatch/config/node.py
+++ b/larchlatch/config/node.py
@@ -14,7 +14,7 @@
 
 from larchlatch.config.deployment import Deployment, read_deployment
 from larchlatch.config.endpoints import Address, EndpointList, parse_address, parse_endpoint_list
-from larchlatch.config.reading import optional, required
+from larchlatch.config.reading import integer_from, optional, required
 from larchlatch.config.upstream import UpstreamSettings
 from larchlatch.errors import ConfigurationError
 
@@ -186,7 +186,7 @@
     limits = optional(raw, "limits", dict, WHERE, {})
     if "sockets" not in limits:
         return DEFAULT_DESCRIPTOR_LIMIT
-    return required(limits, "sockets", int, f"{WHERE}: limits")
+    return integer_from(limits, "sockets", f"{WHERE}: limits", least=1)
 
 
 def _read_known_endpoints(raw: dict[str, Any]) -> EndpointList:
--- a/larchlatch/config/reading.py
+++ b/larchlatch/config/reading.py
@@ -99,6 +99,39 @@
     return int(value)
 
 
+def is_number(value: object) -> bool:
+    """Return whether a JSON value is a number; `true` and `false` are none."""
+    return isinstance(value, NUMBER) and not isinstance(value, bool)
+
+
+def number_between(
+    json_object: dict[str, Any], key: str, where: str, *, least: float, most: float = EXACT_INTEGER_LIMIT
+) -> float:
+    """Return the value of a key that holds a number from `least` to `most`.
+
+    Raises:
+        ConfigurationError: The value is missing, not a number, or out of this range.
+
+    """
+    value = required(json_object, key, NUMBER, where)
+    if not least <= value <= most:
+        raise ConfigurationError(where, f"{key} is out of range ({value})")
+    return float(value)
+
+
+def integer_from(json_object: dict[str, Any], key: str, where: str, *, least: int) -> int:
+    """Return the value of a key that holds a whole number of at least `least`.
+
+    Raises:
+        ConfigurationError: The value is missing, not a whole number, too small, or too large for JSON.
+
+    """
+    value = required(json_object, key, int, where)
+    if not least <= value < EXACT_INTEGER_LIMIT:
+        raise ConfigurationError(where, f"{key} is out of range ({value})")
+    return value
+
+
 def one_of(
     value: str,
     choices: Mapping[str, Choice],
--- a/tests/config/test_configuration.py
+++ b/tests/config/test_configuration.py
@@ -18,7 +18,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from larchlatch.config.endpoints import decode_endpoint_list, parse_address
+from larchlatch.config.endpoints import decode_endpoint_list, parse_address, parse_endpoint
 from larchlatch.config.node import (
     FILE_KEYS,
     NodeConfiguration,
@@ -30,7 +30,8 @@
 from larchlatch.node.discovery import DiscoveryClient
 from larchlatch.node.metrics import Counters
 from larchlatch.node.reload import reload_configuration
-from tests.support.configuration import node_configuration
+from larchlatch.policy.types import UNKNOWN_PLACE
+from tests.support.configuration import endpoint_row, node_configuration
 
 VALID = node_configuration(["127.0.0.1:1"], 1)
 WRONG: tuple[Any, ...] = (None, True, -1, 1.5, 1e300, 2**70, "word", "", [], [1], [None], {}, {"a": 1})
@@ -184,3 +185,36 @@
     with pytest.raises(ProtocolError, match=r"^list: members is missing$"):
         decode_endpoint_list(b'{"complete": true, "revision": 1}')
     assert parse_address("[::1]:3000", "file") == ("::1", 3000)
+
+
+@pytest.mark.parametrize(
+    ("path", "wrong"),
+    [
+        (("settings", "me"), -1),
+        (("settings", "me"), 2**70),
+        (("settings", "caps", "most_setup_tries"), -1),
+        (("settings", "rules", "cold_from"), -0.1),
+        (("settings", "rules", "cold_from"), 1.5),
+        (("settings", "rules", "tip_multiple"), -1),
+        (("settings", "domain", "message_aim_us"), [True, 1, 1]),
+        (("settings", "domain", "message_aim_us"), [1, -1, 1]),
+        (("limits", "sockets"), -1),
+        (("limits", "sockets"), 0),
+    ],
+)
+def test_a_number_out_of_its_range_is_rejected(path: tuple[str, ...], wrong: Any) -> None:
+    """Such a value was accepted, and led to wrong decisions or to errors far from the file."""
+    with pytest.raises(ConfigurationError, match=path[-1]):
+        parse_node_configuration(with_fault(path, wrong, missing=False))
+
+
+def test_an_upstream_that_starts_without_capacity_has_a_load_that_can_be_compared() -> None:
+    """A share of 0 is allowed by the pages, and loads are divided by it."""
+    configuration = parse_node_configuration(with_fault(("settings", "rules", "cold_from"), 0, missing=False))
+    assert 0 < configuration.settings.slow_start_min_share <= 0.001
+
+
+@pytest.mark.parametrize(("key", "default"), [("cell", UNKNOWN_PLACE), ("size", 1.0)])
+def test_true_is_no_number_in_an_endpoint_list(key: str, default: float) -> None:
+    entry = parse_endpoint({**endpoint_row(0, "127.0.0.1:1"), key: True}, "entry")
+    assert getattr(entry, key) == default
