Soak: the node that leaves the cluster is removed once it has lent

Without a loan there is nothing to renew with it.

Change: the removal waits up to 6 s until that node's status says that it has lent.

--- a/larchlatch/loadtest/cluster_observer.py
+++ b/larchlatch/loadtest/cluster_observer.py
@@ -77,6 +77,11 @@
         self._running = [False] * count
         self._paths = DatagramPaths(None)  # which of them the proxy blocks now
         self._logs = NodeLogReader([], EVENTS)
+        self._lent = [0] * count
+
+    def lent_by(self, node: int) -> int:
+        """Return how much of the quotas a node has lent by its last status, in sessions per window."""
+        return self._lent[node]
 
     def is_running(self, node: int) -> bool:
         """Return whether a node's process has been started and is neither killed nor paused."""
@@ -165,7 +170,14 @@
                 observe(OrderExecuted(now_us(), role, lease))
             case {"event": "role_acquired" | "role_ended" as change, "role": role}:
                 observe(RoleChanged(now_us(), role, node, held=change == "role_acquired"))
-            case {"event": "quota_status", "fleet_least": least, "fleet_most": most, "timestamp": at}:
+            case {
+                "event": "quota_status",
+                "fleet_least": least,
+                "fleet_most": most,
+                "lent": lent,
+                "timestamp": at,
+            }:
+                self._lent[node] = lent
                 observe(self._quota_usage_reported(least, most, datetime.fromisoformat(at)))
 
     def _upstream_ejected(self, node: int, upstream: int) -> UpstreamEjected:
--- a/larchlatch/soak/run.py
+++ b/larchlatch/soak/run.py
@@ -44,6 +44,8 @@
 RENDEZVOUS_INTERVAL_S = 1.5
 DATAGRAM_INTERVAL_S = 0.05
 REMOVAL_AT_SHARE = 0.4  # of the soak, when a node is removed from the cluster
+LENT_POLL_S = 0.1
+LENT_POLLS = 60  # for which the removal waits until that node has lent
 CLUSTER_FILE_AFTER_S = 0.5  # from the end of the removed node to the others' new cluster files
 CLUSTER_FILE_SPREAD_S = 0.5  # within which all of them read the new file
 AGREEMENT_POLL_S = 0.1
@@ -189,6 +191,7 @@
         """Remove the last node from the cluster, as docs/operating-cluster.md says."""
         await self.clock.sleep_until(REMOVAL_AT_SHARE * self.scenario.span_s)
         node = self.fleet.nodes[-1]
+        await self._wait_until_lent(node)
         faults = NodeProcessFaults(self.fleet, self.cluster, self.cluster_observer, self.tasks.call_later)
         async with self.operator.lock:
             faults.decommission(node)
@@ -199,6 +202,13 @@
             self.cluster_observer.read_logs()
             self.cluster_observer.member_removed(node.number)
 
+    async def _wait_until_lent(self, node: NodeProcess) -> None:
+        """Wait until a node has lent, if it does so in time, as its removal then ends the loans of others."""
+        for _ in range(LENT_POLLS):
+            if self.cluster_observer.lent_by(node.number):
+                return
+            await anyio.sleep(LENT_POLL_S)
+
     # The result.
 
     def _read_exceptions(self) -> None:
