--- a/larchlatch/cluster/quota/counts.py
+++ b/larchlatch/cluster/quota/counts.py
@@ -100,9 +100,8 @@
     def _begin_file(self, quota_settings: QuotaSettings) -> None:
         self._quota_settings = quota_settings
         self._samples: dict[str, deque[Sample]] = {name: deque() for name in quota_settings.names}
-        self._file_used_since: dict[
-            str, int
-        ] = {}  # creation time of the first record with this file's digest
+        # Creation time of each node's first record with the digest of this file.
+        self._file_used_since: dict[str, int] = {}
 
     @property
     def span_us(self) -> int:
--- a/larchlatch/policy/retention.py
+++ b/larchlatch/policy/retention.py
@@ -21,7 +21,6 @@
 CHECK_INTERVAL_US = 1_000_000  # time between two searches for upstreams that are no longer used
 MIN_RETENTION_US = 10_000_000  # longer than an upstream is missing that returns as it was
 
-
 NONE_RELEASED = ReleasedUpstreams([], [])
 
 
